--- /dev/null
+++ b/fleet/process_metrics.cpp
@@ -0,0 +1,57 @@
+#include "fleet/process_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace sardinelb {
+
+namespace {
+
+const prometheus::Histogram::BucketBoundaries latencySeconds { 0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 4, 8 };
+
+double seconds(duration time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+}
+
+struct process_metrics::implementation {
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Counter>& requests = prometheus::BuildCounter().Name("sardinelb_requests_total").Help("Requests of callers by outcome.").Register(registry);
+    prometheus::Family<prometheus::Counter>& events = prometheus::BuildCounter().Name("sardinelb_events_total").Help("Decisions and changes of belief by kind.").Register(registry);
+    prometheus::Histogram& total = prometheus::BuildHistogram().Name("sardinelb_request_seconds").Help("Time from a request to the end of its answer.").Register(registry).Add({}, latencySeconds);
+    prometheus::Histogram& first = prometheus::BuildHistogram().Name("sardinelb_first_answer_seconds").Help("Time from a request to the first part of its answer.").Register(registry).Add({}, latencySeconds);
+};
+
+process_metrics::process_metrics()
+    : m_implementation(std::make_unique<implementation>())
+{
+}
+
+process_metrics::~process_metrics() = default;
+
+void process_metrics::requestEnded(const std::string& outcome, duration total)
+{
+    m_implementation->requests.Add({ { "outcome", outcome } }).Increment();
+    m_implementation->total.Observe(seconds(total));
+}
+
+void process_metrics::answerBegan(duration sinceArrival)
+{
+    m_implementation->first.Observe(seconds(sinceArrival));
+}
+
+void process_metrics::count(const std::string& event)
+{
+    m_implementation->events.Add({ { "event", event } }).Increment();
+}
+
+std::string process_metrics::text() const
+{
+    return prometheus::TextSerializer().Serialize(m_implementation->registry.Collect());
+}
+
+}
--- /dev/null
+++ b/fleet/sardinelb_fleet.cpp
@@ -0,0 +1,72 @@
+#include "fleet/entry_process.h"
+#include "fleet/event_log.h"
+#include "platform/names.h"
+#include "platform/settings.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <cstdlib>
+#include <functional>
+#include <iostream>
+#include <string>
+
+namespace {
+
+using sardinelb::event_log;
+using sardinelb::platform::settings;
+
+// Waits for signals until the process ends. SIGHUP only checks the changed settings: what they hold is read at a start.
+void watchSignals(boost::asio::signal_set& signals, event_log& log, const std::string& path, const std::function<void()>& stop)
+{
+    signals.async_wait([&signals, &log, path, stop](const boost::system::error_code& error, int signal) {
+        if (error)
+            return;
+        if (signal == SIGHUP) {
+            std::string problem;
+            const bool isReadable = sardinelb::platform::readSettings(path, problem).has_value();
+            log.write("reload", { { "readable", isReadable }, { "problem", problem } });
+        } else {
+            stop();
+        }
+        watchSignals(signals, log, path, stop);
+    });
+}
+
+int runEntry(const settings& options, const std::string& path)
+{
+    boost::asio::io_context context(1);
+    event_log log(options.daemon.value());
+    log.write("start", { { "role", "entry" }, { "zone", options.zone.value() }, { "callers", options.callerAddress } });
+    sardinelb::entry_process process(context, options, log);
+    if (!process.start())
+        return EXIT_FAILURE;
+    boost::asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
+    watchSignals(signals, log, path, [&process] { process.stop(); });
+    context.run();
+    return EXIT_SUCCESS;
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    const char* path = std::getenv(sardinelb::platform::settingsVariable);
+    if (argc != 2 || !path) {
+        std::cerr << "usage: " << sardinelb::platform::settingsVariable << "=FILE sardinelb-fleet entry|agent\n";
+        return EXIT_FAILURE;
+    }
+    std::string problem;
+    const auto options = sardinelb::platform::readSettings(path, problem);
+    if (!options) {
+        std::cerr << "sardinelb-fleet: " << problem << "\n";
+        return EXIT_FAILURE;
+    }
+    const std::string role = argv[1];
+    std::signal(SIGPIPE, SIG_IGN);
+    if (role == "entry")
+        return runEntry(*options, path);
+    std::cerr << "sardinelb-fleet: unknown role '" << role << "'; entry or agent\n";
+    return EXIT_FAILURE;
+}
--- /dev/null
+++ b/relay/endpoint.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <optional>
+#include <string_view>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+namespace sardinelb {
+
+// Parses "10.1.0.4:8080". Returns nothing for any other text.
+std::optional<boost::asio::ip::tcp::endpoint> tcpEndpoint(std::string_view address);
+
+// Returns the IP number of "10.1.0.4:8080" with another port.
+std::optional<boost::asio::ip::udp::endpoint> udpEndpoint(std::string_view address, unsigned short port);
+
+}
--- /dev/null
+++ b/serving/next_attempt.cpp
@@ -0,0 +1,35 @@
+#include "serving/next_attempt.h"
+
+namespace sardinelb {
+
+namespace {
+
+// Less time than this does not suffice for another runner to answer: connecting and one pass of an engine take longer.
+constexpr duration shortestUsefulAttempt = std::chrono::milliseconds(30);
+
+// Runners that refuse connections are skipped this often before the caller is told to come back.
+constexpr std::uint32_t maxFailedConnections = 4;
+
+bool canTryAnother(const failed_attempt_facts& facts)
+{
+    if (facts.timeLeft < shortestUsefulAttempt)
+        return false;
+    if (facts.mayHaveRun && !mayRunAgain(facts.repeat))
+        return false;
+    if (facts.failure == attempt_failure::NotConnected)
+        return facts.connectionsFailed < maxFailedConnections && facts.attemptsSent < facts.maxAttempts;
+    return facts.attemptsSent < facts.maxAttempts && facts.retryAllowed;
+}
+
+}
+
+next_step decideNextStep(const failed_attempt_facts& facts)
+{
+    if (canTryAnother(facts))
+        return next_step::TryAnother;
+    if (facts.answerStarted)
+        return next_step::BreakOff;
+    return facts.mayHaveRun ? next_step::FailUnknown : next_step::RefuseNotRun;
+}
+
+}
--- /dev/null
+++ b/serving/retry_share.cpp
@@ -0,0 +1,47 @@
+#include "serving/retry_share.h"
+
+#include <algorithm>
+
+namespace sardinelb {
+
+namespace {
+
+// The rest is kept for entries that start or that others have not heard of yet.
+constexpr double usedPartOfSlack = 0.7;
+
+}
+
+retry_share::retry_share(settings values)
+    : m_settings(values)
+{
+}
+
+void retry_share::requestArrived(time_point now)
+{
+    m_requests.push_back(now);
+    forget(now);
+}
+
+bool retry_share::covers(std::size_t entriesAlive, time_point now)
+{
+    forget(now);
+    const double slack = m_settings.slack * usedPartOfSlack / static_cast<double>(std::max<std::size_t>(entriesAlive, 1));
+    const double allowed = m_settings.ratio * static_cast<double>(m_requests.size()) + slack;
+    return static_cast<double>(m_retries.size()) + 1 <= allowed;
+}
+
+void retry_share::spend(time_point now)
+{
+    m_retries.push_back(now);
+}
+
+void retry_share::forget(time_point now)
+{
+    const time_point start = now - m_settings.window;
+    while (!m_requests.empty() && m_requests.front() < start)
+        m_requests.pop_front();
+    while (!m_retries.empty() && m_retries.front() < start)
+        m_retries.pop_front();
+}
+
+}
--- /dev/null
+++ b/serving/runner_directory.cpp
@@ -0,0 +1,232 @@
+#include "serving/runner_directory.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace sardinelb {
+
+namespace {
+
+constexpr double smoothing = 0.2;
+
+// A runner that failed is left alone this long; the time doubles with each further failure in a row.
+constexpr duration firstAvoidance = std::chrono::milliseconds(250);
+constexpr duration longestAvoidance = std::chrono::seconds(4);
+
+// A runner that fails every second request counts as if it had this much more work for each request in flight.
+constexpr double failurePenalty = 16;
+
+// Gaps of this time are judged together when the limit of a group is set.
+constexpr duration paceWindow = std::chrono::milliseconds(250);
+constexpr std::uint32_t fewestGaps = 8;
+
+// A window with a larger part of late gaps lowers the limit, one with a smaller part raises it.
+constexpr double tooManyLate = 0.08;
+constexpr double fewLate = 0.02;
+constexpr double limitDecrease = 0.9;
+constexpr double limitIncrease = 0.5;
+constexpr double lowestLimit = 3;
+
+double smoothed(double before, double value)
+{
+    return before + smoothing * (value - before);
+}
+
+}
+
+runner_directory::runner_directory(random_source random)
+    : m_random(std::move(random))
+{
+}
+
+void runner_directory::setRunners(const std::vector<listed_runner>& listings)
+{
+    std::unordered_map<runner_id, runner_record> known;
+    m_byPool.clear();
+    for (const listed_runner& listing : listings) {
+        runner_record record;
+        const auto before = m_runners.find(listing.id);
+        const bool isSameProcess = before != m_runners.end() && before->second.listing.startedAtMs == listing.startedAtMs
+            && before->second.listing.address == listing.address;
+        if (isSameProcess)
+            record = before->second;
+        else if (before != m_runners.end())
+            record.inFlight = before->second.inFlight;
+        record.listing = listing;
+        m_byPool[listing.pool].push_back(listing.id);
+        known.emplace(listing.id, std::move(record));
+    }
+    m_runners = std::move(known);
+}
+
+void runner_directory::setSlots(const pool_id& pool, std::uint32_t slots)
+{
+    m_slots[pool] = slots;
+}
+
+runner_record* runner_directory::findRecord(const runner_id& id)
+{
+    const auto found = m_runners.find(id);
+    return found == m_runners.end() ? nullptr : &found->second;
+}
+
+const runner_record* runner_directory::find(const runner_id& id) const
+{
+    const auto found = m_runners.find(id);
+    return found == m_runners.end() ? nullptr : &found->second;
+}
+
+void runner_directory::reportLoad(const rank_load& report, time_point now)
+{
+    runner_record* record = findRecord(report.runner);
+    if (!record)
+        return;
+    record->load = runner_record::load_sample { report.running + report.waiting, record->inFlight, now, report.pace, report.isGroupOpen };
+    record->group = report.group;
+    record->rank = report.rank;
+}
+
+std::uint32_t runner_directory::limitOf(const runner_record& record) const
+{
+    const auto slots = m_slots.find(record.listing.pool);
+    if (slots == m_slots.end() || slots->second == 0)
+        return std::numeric_limits<std::uint32_t>::max();
+    const auto group = m_groups.find(record.group);
+    if (group == m_groups.end())
+        return slots->second;
+    return std::min(slots->second, static_cast<std::uint32_t>(group->second.limit));
+}
+
+bool runner_directory::isUsable(const runner_record& record, time_point now) const
+{
+    if (record.listing.isDraining || now < record.avoidUntil)
+        return false;
+    return !record.load || record.load->isGroupOpen || now - record.load->at > longestAvoidance;
+}
+
+double runner_directory::score(const runner_record& record, time_point now) const
+{
+    const double load = record.estimatedLoad(now);
+    const double pace = record.load ? std::max(1.0, record.load->pace) : 1.0;
+    return (load + 1) * pace * (1 + failurePenalty * record.failureRate) * (1 + record.answerMs / 1000);
+}
+
+std::optional<runner_id> runner_directory::choose(const pool_id& pool, const std::vector<runner_id>& excluded, time_point now)
+{
+    const auto members = m_byPool.find(pool);
+    if (members == m_byPool.end())
+        return std::nullopt;
+    const runner_id* best = nullptr;
+    double bestScore = std::numeric_limits<double>::infinity();
+    for (const runner_id& id : members->second) {
+        const runner_record& record = m_runners.at(id);
+        if (!isUsable(record, now) || record.estimatedLoad(now) >= limitOf(record))
+            continue;
+        double value = score(record, now);
+        if (std::find(excluded.begin(), excluded.end(), id) != excluded.end())
+            value += 1e6;
+        // Entries with the same reports must not all take the same runner.
+        value *= 1 + 0.2 * m_random();
+        if (value < bestScore) {
+            bestScore = value;
+            best = &id;
+        }
+    }
+    return best ? std::optional(*best) : std::nullopt;
+}
+
+std::uint32_t runner_directory::room(const pool_id& pool, time_point now) const
+{
+    const auto members = m_byPool.find(pool);
+    if (members == m_byPool.end())
+        return 0;
+    std::uint32_t total = 0;
+    for (const runner_id& id : members->second) {
+        const runner_record& record = m_runners.at(id);
+        const std::uint32_t limit = std::min(limitOf(record), 1000U);
+        const std::uint32_t load = record.estimatedLoad(now);
+        if (isUsable(record, now) && load < limit)
+            total += limit - load;
+    }
+    return total;
+}
+
+bool runner_directory::hasUsable(const pool_id& pool, time_point now) const
+{
+    const auto members = m_byPool.find(pool);
+    return members != m_byPool.end() && std::any_of(members->second.begin(), members->second.end(), [&](const runner_id& id) {
+        return isUsable(m_runners.at(id), now);
+    });
+}
+
+void runner_directory::started(const runner_id& id)
+{
+    if (runner_record* record = findRecord(id))
+        ++record->inFlight;
+}
+
+void runner_directory::abandoned(const runner_id& id)
+{
+    runner_record* record = findRecord(id);
+    if (record && record->inFlight > 0)
+        --record->inFlight;
+}
+
+void runner_directory::succeeded(const runner_id& id, duration timeToAnswer)
+{
+    abandoned(id);
+    runner_record* record = findRecord(id);
+    if (!record)
+        return;
+    record->failureRate = smoothed(record->failureRate, 0);
+    record->failuresInRow = 0;
+    const double ms = std::chrono::duration<double, std::milli>(timeToAnswer).count();
+    record->answerMs = record->answerMs == 0 ? ms : smoothed(record->answerMs, ms);
+}
+
+void runner_directory::failed(const runner_id& id, attempt_failure failure, time_point now)
+{
+    abandoned(id);
+    runner_record* record = findRecord(id);
+    if (!record)
+        return;
+    record->failureRate = smoothed(record->failureRate, 1);
+    const auto doubling = std::min<std::uint32_t>(record->failuresInRow++, 4);
+    // One lost answer does not show that a runner is down; a refused connection and a rejection do.
+    if (failure == attempt_failure::OutcomeUnknown && doubling == 0)
+        return;
+    record->avoidUntil = now + std::min(firstAvoidance * (1 << doubling), longestAvoidance);
+}
+
+void runner_directory::eventGap(const runner_id& id, duration gap, duration objective, time_point now)
+{
+    const runner_record* record = find(id);
+    if (!record || record->group.value().empty() || objective == duration {})
+        return;
+    group_pace& pace = m_groups[record->group];
+    const auto slots = m_slots.find(record->listing.pool);
+    const double most = slots == m_slots.end() || slots->second == 0 ? 1000 : slots->second;
+    if (pace.limit == 0)
+        pace.limit = most;
+    if (now - pace.windowStart > paceWindow && pace.gaps >= fewestGaps) {
+        const double late = static_cast<double>(pace.lateGaps) / pace.gaps;
+        if (late > tooManyLate)
+            pace.limit = std::max(lowestLimit, pace.limit * limitDecrease);
+        else if (late < fewLate)
+            pace.limit = std::min(most, pace.limit + limitIncrease);
+        pace.windowStart = now;
+        pace.gaps = 0;
+        pace.lateGaps = 0;
+    }
+    ++pace.gaps;
+    if (gap > objective)
+        ++pace.lateGaps;
+}
+
+double runner_directory::limitPerRank(const group_id& group) const
+{
+    const auto found = m_groups.find(group);
+    return found == m_groups.end() ? 0 : found->second.limit;
+}
+
+}
--- /dev/null
+++ b/serving/runner_directory.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "serving/attempt_failure.h"
+#include "serving/listed_runner.h"
+#include "serving/rank_load.h"
+#include "serving/runner_record.h"
+#include "state/ids.h"
+#include "state/time.h"
+
+#include <functional>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace sardinelb {
+
+// What one entry knows of all runners, and its choice among them. Pure state machine; time enters as an argument.
+class runner_directory {
+public:
+    // Returns a number in [0, 1).
+    using random_source = std::function<double()>;
+
+    explicit runner_directory(random_source);
+
+    // Replaces the list. What was learned of a runner stays while its listing names the same process at the same address.
+    void setRunners(const std::vector<listed_runner>&);
+
+    // Sets the requests that one runner of the pool runs at once; 0 means that runners of the pool take any number.
+    void setSlots(const pool_id&, std::uint32_t slots);
+
+    // Takes a report of a runner's load. It counts the work of all entries.
+    void reportLoad(const rank_load&, time_point now);
+
+    // Chooses a runner with room for one more request, or nothing. Runners in `excluded` are used only if there is no other.
+    std::optional<runner_id> choose(const pool_id&, const std::vector<runner_id>& excluded, time_point now);
+
+    // Number of further requests for which choose() would find room.
+    std::uint32_t room(const pool_id&, time_point now) const;
+
+    // Whether the pool has a runner that may be given work at all.
+    bool hasUsable(const pool_id&, time_point now) const;
+
+    void started(const runner_id&);
+
+    // Ends an attempt that started() announced. `timeToAnswer` is from sending to the first part of the answer.
+    void succeeded(const runner_id&, duration timeToAnswer);
+    void failed(const runner_id&, attempt_failure, time_point now);
+    // Ends an attempt that says nothing about the runner, as when the caller left.
+    void abandoned(const runner_id&);
+
+    // Notes the time between two events of a stream from the runner.
+    void eventGap(const runner_id&, duration gap, duration objective, time_point now);
+
+    const runner_record* find(const runner_id&) const;
+    const std::unordered_map<runner_id, runner_record>& runners() const { return m_runners; }
+
+    // Room for work in the group of the runner, by rank. For logs and tests.
+    double limitPerRank(const group_id&) const;
+
+private:
+    // Requests that each rank of a group may run so that the group's passes stay short enough for its streams.
+    struct group_pace {
+        double limit = 0;
+        time_point windowStart;
+        std::uint32_t gaps = 0;
+        std::uint32_t lateGaps = 0;
+    };
+
+    std::uint32_t limitOf(const runner_record&) const;
+    bool isUsable(const runner_record&, time_point now) const;
+    double score(const runner_record&, time_point now) const;
+    runner_record* findRecord(const runner_id&);
+
+    random_source m_random;
+    std::unordered_map<runner_id, runner_record> m_runners;
+    std::unordered_map<pool_id, std::vector<runner_id>> m_byPool;
+    std::unordered_map<pool_id, std::uint32_t> m_slots;
+    std::unordered_map<group_id, group_pace> m_groups;
+};
+
+}
--- /dev/null
+++ b/serving/runner_listing.cpp
@@ -0,0 +1,92 @@
+#include "serving/runner_listing.h"
+
+#include <algorithm>
+#include <unordered_set>
+
+namespace sardinelb {
+
+namespace {
+
+// Runners register again within about this time after the store's return.
+constexpr duration registrationTime = std::chrono::milliseconds(2100);
+
+// An outage that is shorter cannot make entries lapse: they last three heartbeats of a second or so.
+constexpr duration shortestLapsingOutage = std::chrono::milliseconds(1000);
+
+}
+
+void runner_listing::apply(const std::vector<change>& changes, bool isWhole, time_point now)
+{
+    std::unordered_set<runner_id> named;
+    for (const change& entry : changes) {
+        named.insert(entry.id);
+        if (entry.runner) {
+            m_runners[entry.id] = *entry.runner;
+            m_lapsing.erase(entry.id);
+        } else {
+            remove(entry.id, now);
+        }
+    }
+    if (!isWhole)
+        return;
+    std::vector<runner_id> missing;
+    for (const auto& [id, runner] : m_runners) {
+        if (!named.contains(id))
+            missing.push_back(id);
+    }
+    for (const runner_id& id : missing)
+        remove(id, now);
+}
+
+void runner_listing::remove(const runner_id& id, time_point now)
+{
+    const auto known = m_runners.find(id);
+    if (known == m_runners.end())
+        return;
+    const bool mayHaveLapsed = m_backAt && now < *m_backAt + registrationTime && !known->second.isDraining;
+    if (mayHaveLapsed) {
+        m_lapsing.emplace(id, *m_backAt + registrationTime);
+        return;
+    }
+    m_runners.erase(known);
+    m_lapsing.erase(id);
+}
+
+void runner_listing::storeReachable(bool isReachable, time_point now)
+{
+    if (isReachable == m_isReachable)
+        return;
+    m_isReachable = isReachable;
+    if (!isReachable)
+        m_awaySince = now;
+    else if (now - m_awaySince >= shortestLapsingOutage)
+        m_backAt = now;
+}
+
+std::vector<listed_runner> runner_listing::runners(time_point now)
+{
+    std::erase_if(m_lapsing, [&](const auto& entry) {
+        if (now < entry.second)
+            return false;
+        m_runners.erase(entry.first);
+        return true;
+    });
+    std::vector<listed_runner> result;
+    result.reserve(m_runners.size());
+    for (const auto& [id, runner] : m_runners)
+        result.push_back(runner);
+    std::sort(result.begin(), result.end(), [](const listed_runner& a, const listed_runner& b) { return a.id < b.id; });
+    return result;
+}
+
+std::optional<time_point> runner_listing::nextLapse() const
+{
+    std::optional<time_point> next;
+    for (const auto& [id, until] : m_lapsing) {
+        if (!next || until < *next)
+            next = until;
+    }
+    return next;
+}
+
+}
--- /dev/null
+++ b/serving/runner_listing.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "serving/listed_runner.h"
+#include "state/ids.h"
+#include "state/time.h"
+
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace sardinelb {
+
+// The runners that the platform lists, put together from changes. A runner whose entry lapsed while the store was away
+// is kept until the runner has had time to register again. Pure state machine.
+class runner_listing {
+public:
+    // One changed entry; `runner` is empty if the entry no longer exists or names no runner to use.
+    struct change {
+        runner_id id;
+        std::optional<listed_runner> runner;
+    };
+
+    // Takes changes. With `isWhole`, entries that are not among them no longer exist.
+    void apply(const std::vector<change>&, bool isWhole, time_point now);
+
+    // The store answers again, or no longer.
+    void storeReachable(bool isReachable, time_point now);
+
+    // Runners in use now. Call again after nextLapse().
+    std::vector<listed_runner> runners(time_point now);
+
+    // When an entry that was kept will be dropped, if there is one.
+    std::optional<time_point> nextLapse() const;
+
+private:
+    void remove(const runner_id&, time_point now);
+
+    std::unordered_map<runner_id, listed_runner> m_runners;
+    // Entries that lapsed while the store was away, by the time until which they are kept.
+    std::unordered_map<runner_id, time_point> m_lapsing;
+    bool m_isReachable = true;
+    time_point m_awaySince;
+    std::optional<time_point> m_backAt;
+};
+
+}
--- /dev/null
+++ b/serving/waiting_line.cpp
@@ -0,0 +1,95 @@
+#include "serving/waiting_line.h"
+
+#include <algorithm>
+
+namespace sardinelb {
+
+namespace {
+
+// Places that appeared in this time give the pace.
+constexpr duration paceWindow = std::chrono::seconds(1);
+
+// Assumed until places have been seen.
+constexpr double lowestPlacesPerSecond = 2;
+
+constexpr duration shortestRetry = std::chrono::milliseconds(100);
+constexpr duration longestRetry = std::chrono::milliseconds(2500);
+
+bool goesBefore(const waiting_request& a, const waiting_request& b, time_point now)
+{
+    if (a.priority != b.priority)
+        return a.priority < b.priority;
+    const bool aTimely = now <= a.latestTimelyStart;
+    const bool bTimely = now <= b.latestTimelyStart;
+    if (aTimely != bTimely)
+        return aTimely;
+    return aTimely ? a.arrivedAt < b.arrivedAt : a.arrivedAt > b.arrivedAt;
+}
+
+}
+
+double waiting_line::placesPerSecond(time_point now) const
+{
+    const auto recent = std::count_if(m_placed.begin(), m_placed.end(), [&](time_point at) { return at > now - paceWindow; });
+    return std::max(lowestPlacesPerSecond, static_cast<double>(recent));
+}
+
+duration waiting_line::expectedWait(time_point now) const
+{
+    const double seconds = static_cast<double>(m_waiting.size() + 1) / placesPerSecond(now);
+    const auto wait = std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+    return std::clamp(wait, shortestRetry, longestRetry);
+}
+
+bool waiting_line::isWorthWaiting(const waiting_request& request, time_point now) const
+{
+    const auto ahead = std::count_if(m_waiting.begin(), m_waiting.end(), [&](const waiting_request& other) {
+        return goesBefore(other, request, now);
+    });
+    const double seconds = static_cast<double>(ahead + 1) / placesPerSecond(now);
+    const auto wait = std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+    return now + wait <= request.latestStart;
+}
+
+void waiting_line::add(const waiting_request& request)
+{
+    m_waiting.push_back(request);
+}
+
+void waiting_line::remove(std::uint64_t ticket)
+{
+    std::erase_if(m_waiting, [&](const waiting_request& request) { return request.ticket == ticket; });
+}
+
+std::optional<waiting_request> waiting_line::takeNext(time_point now)
+{
+    const auto next = std::min_element(m_waiting.begin(), m_waiting.end(), [&](const waiting_request& a, const waiting_request& b) {
+        return goesBefore(a, b, now);
+    });
+    if (next == m_waiting.end())
+        return std::nullopt;
+    waiting_request taken = *next;
+    m_waiting.erase(next);
+    return taken;
+}
+
+std::vector<waiting_request> waiting_line::takeHopeless(time_point now)
+{
+    std::vector<waiting_request> hopeless;
+    std::erase_if(m_waiting, [&](const waiting_request& request) {
+        if (now <= request.latestStart)
+            return false;
+        hopeless.push_back(request);
+        return true;
+    });
+    return hopeless;
+}
+
+void waiting_line::placed(time_point now)
+{
+    m_placed.push_back(now);
+    while (m_placed.front() < now - paceWindow)
+        m_placed.pop_front();
+}
+
+}
--- /dev/null
+++ b/serving/waiting_line.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "serving/waiting_request.h"
+#include "state/time.h"
+
+#include <deque>
+#include <optional>
+#include <vector>
+
+namespace sardinelb {
+
+// Requests of one pool that wait for room, and the pace at which room appears. Decides who is served next and who is
+// turned away. Pure state machine; answers demand that rises above what the runners can do for seconds.
+class waiting_line {
+public:
+    // Whether a new request would be served in time if it waited. If not, it is turned away at once.
+    bool isWorthWaiting(const waiting_request&, time_point now) const;
+
+    void add(const waiting_request&);
+    void remove(std::uint64_t ticket);
+
+    // Takes the request to serve next: by priority, then those that can still be on time, the oldest first; then the
+    // late ones, the youngest first, since an old one has the least time left to end well.
+    std::optional<waiting_request> takeNext(time_point now);
+
+    // Takes the requests that can no longer be served.
+    std::vector<waiting_request> takeHopeless(time_point now);
+
+    // Notes that a request of the pool got a place.
+    void placed(time_point now);
+
+    // Time after which a caller that is turned away now may expect a place.
+    duration expectedWait(time_point now) const;
+
+    std::size_t size() const { return m_waiting.size(); }
+
+private:
+    double placesPerSecond(time_point now) const;
+
+    std::vector<waiting_request> m_waiting;
+    std::deque<time_point> m_placed;
+};
+
+}
