Fit expert maps to the demand by agents beside the runners

Cause: the busiest rank of a group had 3.07 times the mean, so passes took over 120 ms at the peaks and streams were late for their pauses. Agents read counts and reports beside their runners; the agent of the lowest rank plans a few copies that help most and switches the group under a hold. Entries find agents by the list of runners and each other through the agents, without a call to the store.

--- /dev/null
+++ b/expert_map/expert_demand.cpp
@@ -0,0 +1,79 @@
+#include "expert_map/expert_demand.h"
+
+#include <cmath>
+
+namespace sardinelb {
+
+namespace {
+
+// Demand moves to other experts every few seconds.
+constexpr double recentHalfLifeSeconds = 0.5;
+constexpr double settledHalfLifeSeconds = 12;
+
+// Weight of the long estimate.
+constexpr double settledWeight = 0.15;
+
+}
+
+expert_demand::expert_demand(std::uint32_t sets, std::uint32_t experts)
+    : m_sets(sets)
+    , m_experts(experts)
+    , m_recent(static_cast<std::size_t>(sets) * experts)
+    , m_settled(m_recent.size())
+{
+}
+
+void expert_demand::decay(time_point now)
+{
+    const double seconds = std::chrono::duration<double>(now - m_decayedAt).count();
+    m_decayedAt = now;
+    const double recent = std::exp2(-seconds / recentHalfLifeSeconds);
+    const double settled = std::exp2(-seconds / settledHalfLifeSeconds);
+    for (std::size_t i = 0; i < m_recent.size(); ++i) {
+        m_recent[i] *= recent;
+        m_settled[i] *= settled;
+    }
+    m_recentTotal *= recent;
+}
+
+void expert_demand::report(rank_id rank, const std::vector<std::uint32_t>& counts, time_point now)
+{
+    if (counts.size() != m_recent.size())
+        return;
+    decay(now);
+    std::vector<std::uint32_t>& last = m_last[rank];
+    bool isContinued = last.size() == counts.size();
+    for (std::size_t i = 0; isContinued && i < counts.size(); ++i)
+        isContinued = counts[i] >= last[i];
+    if (isContinued) {
+        for (std::size_t i = 0; i < counts.size(); ++i) {
+            const double chosen = counts[i] - last[i];
+            m_recent[i] += chosen;
+            m_settled[i] += chosen;
+            m_recentTotal += chosen;
+        }
+    }
+    last = counts;
+}
+
+std::vector<std::vector<double>> expert_demand::popularity() const
+{
+    std::vector<std::vector<double>> parts(m_sets, std::vector<double>(m_experts));
+    for (std::uint32_t set = 0; set < m_sets; ++set) {
+        const std::size_t first = static_cast<std::size_t>(set) * m_experts;
+        double recentTotal = 0;
+        double settledTotal = 0;
+        for (std::uint32_t e = 0; e < m_experts; ++e) {
+            recentTotal += m_recent[first + e];
+            settledTotal += m_settled[first + e];
+        }
+        for (std::uint32_t e = 0; e < m_experts; ++e) {
+            const double recent = recentTotal > 0 ? m_recent[first + e] / recentTotal : 1.0 / m_experts;
+            const double settled = settledTotal > 0 ? m_settled[first + e] / settledTotal : 1.0 / m_experts;
+            parts[set][e] = (1 - settledWeight) * recent + settledWeight * settled;
+        }
+    }
+    return parts;
+}
+
+}
--- /dev/null
+++ b/expert_map/map_switch.cpp
@@ -0,0 +1,360 @@
+#include "expert_map/map_switch.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sardinelb {
+
+namespace {
+
+// A rank that has not reported for this long is not known well enough to start a switch.
+constexpr duration reportLifetime = std::chrono::milliseconds(600);
+
+// Passes between the newest one reported and the one that is held: hold, arm and release take less than two passes.
+constexpr std::uint64_t passesAhead = 4;
+
+// Coordinators on neighbouring ranks hold different passes, so that one cannot take another's hold for its own.
+constexpr std::uint64_t stepClasses = 4;
+
+// Orders that are carried out late take two seconds and more; answers in order take some ms.
+constexpr duration answerTime = std::chrono::milliseconds(300);
+constexpr duration repeatAfter = std::chrono::milliseconds(250);
+
+// Time beyond the copying that ranks may need to report a map as prepared.
+constexpr duration prepareSlack = std::chrono::milliseconds(1500);
+
+// Longer than another coordinator needs from its hold to its release or to taking back its switch.
+constexpr duration foreignHoldTime = std::chrono::milliseconds(1000);
+
+constexpr duration shortPause = std::chrono::milliseconds(500);
+// After an order went unanswered: others will too, for some seconds.
+constexpr duration longPause = std::chrono::seconds(3);
+
+constexpr rank_id holder { 0 };
+
+}
+
+map_switch::map_switch(rank_id coordinator, std::uint32_t groupSize)
+    : m_coordinator(coordinator)
+    , m_groupSize(groupSize)
+{
+}
+
+void map_switch::report(const rank_status& status)
+{
+    if (status.epoch < m_epoch)
+        return;
+    if (status.epoch > m_epoch) {
+        // The group formed anew: nothing of before is prepared, armed or held any longer.
+        m_epoch = status.epoch;
+        m_ranks.clear();
+        m_stage = stage::Idle;
+        m_foreignSince.reset();
+        m_orders.clear();
+        m_abandonedHold.reset();
+    }
+    rank_status& known = m_ranks[status.rank];
+    auto experts = known.map == status.map ? std::move(known.experts) : decltype(known.experts) {};
+    known = status;
+    // A report that was read from afar does not list the experts.
+    if (known.experts.empty())
+        known.experts = std::move(experts);
+}
+
+bool map_switch::isComplete(time_point now) const
+{
+    if (m_ranks.size() != m_groupSize)
+        return false;
+    return std::all_of(m_ranks.begin(), m_ranks.end(), [&](const auto& entry) {
+        return entry.second.isOpen && now - entry.second.at <= reportLifetime;
+    });
+}
+
+std::uint64_t map_switch::highestVersion() const
+{
+    std::uint64_t highest = m_highestUsed;
+    for (const auto& [rank, status] : m_ranks) {
+        highest = std::max(highest, status.map.value());
+        highest = std::max(highest, status.prepared.value_or(map_version {}).value());
+        highest = std::max(highest, status.armed.value_or(map_version {}).value());
+    }
+    return highest;
+}
+
+std::uint64_t map_switch::highestStep() const
+{
+    std::uint64_t highest = 0;
+    for (const auto& [rank, status] : m_ranks)
+        highest = std::max(highest, status.step.value());
+    return highest;
+}
+
+std::optional<step_number> map_switch::heldStep() const
+{
+    const auto found = m_ranks.find(holder);
+    return found == m_ranks.end() ? std::nullopt : found->second.held;
+}
+
+bool map_switch::allPrepared(map_version version) const
+{
+    return std::all_of(m_ranks.begin(), m_ranks.end(), [&](const auto& entry) { return entry.second.prepared == version; });
+}
+
+bool map_switch::allArmed(map_version version) const
+{
+    return std::all_of(m_ranks.begin(), m_ranks.end(), [&](const auto& entry) { return entry.second.armed == version; });
+}
+
+std::shared_ptr<const expert_placement> map_switch::placementInUse() const
+{
+    auto placement = std::make_shared<expert_placement>();
+    for (const auto& [rank, status] : m_ranks) {
+        placement->sets.resize(status.experts.size());
+        for (std::size_t set = 0; set < status.experts.size(); ++set)
+            placement->sets[set].push_back(status.experts[set]);
+    }
+    return placement;
+}
+
+std::optional<expert_placement> map_switch::currentPlacement(time_point now) const
+{
+    if (m_stage != stage::Idle || !isComplete(now))
+        return std::nullopt;
+    const rank_status& first = m_ranks.begin()->second;
+    for (const auto& [rank, status] : m_ranks) {
+        if (status.map != first.map || status.experts.empty() || status.experts.size() != first.experts.size())
+            return std::nullopt;
+    }
+    return *placementInUse();
+}
+
+void map_switch::enter(stage next, time_point now)
+{
+    m_stage = next;
+    m_stageSince = now;
+    m_lastTry.clear();
+}
+
+void map_switch::abandon(duration pause, time_point now)
+{
+    enter(stage::Idle, now);
+    m_notBefore = now + pause;
+}
+
+void map_switch::order(map_order::kind what, rank_id rank, map_version version, step_number step, std::shared_ptr<const expert_placement> placement)
+{
+    m_orders.push_back({ what, rank, m_epoch, version, step, std::move(placement) });
+}
+
+std::vector<map_order> map_switch::takeOrders()
+{
+    return std::exchange(m_orders, {});
+}
+
+bool map_switch::begin(const expert_placement& placement, duration copyTime, time_point now)
+{
+    if (m_stage != stage::Idle || now < m_notBefore || !isComplete(now) || m_foreignSince)
+        return false;
+    for (const auto& [rank, status] : m_ranks) {
+        if (status.armed || status.held)
+            return false;
+    }
+    m_version = map_version(highestVersion() + 1);
+    m_highestUsed = m_version.value();
+    m_placement = std::make_shared<expert_placement>(placement);
+    m_copyTime = copyTime;
+    enter(stage::Preparing, now);
+    for (const auto& [rank, status] : m_ranks)
+        order(map_order::kind::Prepare, rank, m_version, {}, m_placement);
+    return true;
+}
+
+void map_switch::startHolding(time_point now)
+{
+    std::uint64_t step = highestStep() + passesAhead;
+    while (step % stepClasses != m_coordinator.value() % stepClasses)
+        ++step;
+    m_step = step_number(step);
+    enter(stage::Holding, now);
+    order(map_order::kind::Hold, holder, {}, m_step);
+}
+
+void map_switch::startArming(time_point now)
+{
+    m_armed.clear();
+    enter(stage::Arming, now);
+    for (const auto& [rank, status] : m_ranks)
+        order(map_order::kind::Arm, rank, m_version, m_step);
+}
+
+void map_switch::startRelease(time_point now)
+{
+    enter(stage::Releasing, now);
+    m_lastTry[holder] = now;
+    order(map_order::kind::Release, holder, {}, m_step);
+}
+
+void map_switch::startTakingBack(time_point now)
+{
+    m_voidVersion = map_version(highestVersion() + 1);
+    m_highestUsed = m_voidVersion.value();
+    m_placement = placementInUse();
+    enter(stage::TakingBack, now);
+    advanceTakingBack(now);
+}
+
+void map_switch::orderAnswered(const map_order& sent, map_order_result result, time_point now)
+{
+    if (sent.epoch != m_epoch)
+        return;
+    const bool isAccepted = result == map_order_result::Accepted;
+    const duration pause = result == map_order_result::Unanswered ? longPause : shortPause;
+    if (m_stage == stage::Preparing && sent.what == map_order::kind::Prepare && sent.version == m_version) {
+        if (!isAccepted)
+            abandon(pause, now);
+    } else if (m_stage == stage::Holding && sent.what == map_order::kind::Hold && sent.step == m_step) {
+        if (isAccepted) {
+            startArming(now);
+        } else if (result == map_order_result::Refused) {
+            abandon(shortPause, now);
+        } else {
+            m_abandonedHold = m_step;
+            abandon(longPause, now);
+        }
+    } else if (m_stage == stage::Arming && sent.what == map_order::kind::Arm && sent.version == m_version) {
+        if (!isAccepted) {
+            startTakingBack(now);
+            return;
+        }
+        m_armed.push_back(sent.rank);
+        // A coordinator that was stopped for a while no longer knows that the ranks are still armed.
+        const bool isTimely = now - m_stageSince <= answerTime;
+        if (!isTimely)
+            startTakingBack(now);
+        else if (m_armed.size() == m_groupSize)
+            startRelease(now);
+    }
+}
+
+void map_switch::advance(time_point now)
+{
+    switch (m_stage) {
+    case stage::Idle:
+        watchForeignHold(now);
+        return;
+    case stage::Preparing:
+        advancePreparing(now);
+        return;
+    case stage::Holding:
+        advanceHolding(now);
+        return;
+    case stage::Arming:
+        advanceArming(now);
+        return;
+    case stage::Releasing:
+        advanceReleasing(now);
+        return;
+    case stage::TakingBack:
+        advanceTakingBack(now);
+        return;
+    }
+}
+
+void map_switch::advancePreparing(time_point now)
+{
+    if (allPrepared(m_version) && isComplete(now))
+        startHolding(now);
+    else if (now - m_stageSince > m_copyTime + prepareSlack)
+        abandon(shortPause, now);
+}
+
+void map_switch::advanceHolding(time_point now)
+{
+    if (now - m_stageSince <= answerTime * 2)
+        return;
+    m_abandonedHold = m_step;
+    abandon(longPause, now);
+}
+
+void map_switch::advanceArming(time_point now)
+{
+    if (now - m_stageSince > answerTime)
+        startTakingBack(now);
+}
+
+void map_switch::advanceReleasing(time_point now)
+{
+    const bool isReleased = heldStep() != m_step && m_ranks.at(holder).at > m_lastTry[holder];
+    if (isReleased) {
+        abandon(duration {}, now);
+        return;
+    }
+    if (now - m_lastTry[holder] >= repeatAfter) {
+        m_lastTry[holder] = now;
+        order(map_order::kind::Release, holder, {}, m_step);
+    }
+}
+
+void map_switch::takeBack(const rank_status& status, time_point now)
+{
+    const auto last = m_lastTry.find(status.rank);
+    if (last != m_lastTry.end() && now - last->second < repeatAfter)
+        return;
+    m_lastTry[status.rank] = now;
+    if (status.armed)
+        order(map_order::kind::Disarm, status.rank, *status.armed, {});
+    else
+        order(map_order::kind::Prepare, status.rank, m_voidVersion, {}, m_placement);
+}
+
+void map_switch::advanceTakingBack(time_point now)
+{
+    bool isVoid = true;
+    for (const auto& [rank, status] : m_ranks) {
+        // Reports of before this stage do not show what late orders did.
+        const bool isFresh = status.at > m_stageSince;
+        if (isFresh && !status.armed && status.prepared == m_voidVersion)
+            continue;
+        isVoid = false;
+        takeBack(status, now);
+    }
+    if (!isVoid)
+        return;
+    if (const auto held = heldStep()) {
+        m_step = *held;
+        startRelease(now);
+        m_notBefore = now + longPause;
+    } else {
+        abandon(longPause, now);
+    }
+}
+
+void map_switch::watchForeignHold(time_point now)
+{
+    const auto held = heldStep();
+    if (held && held == m_abandonedHold) {
+        m_step = *held;
+        startRelease(now);
+        m_notBefore = now + longPause;
+        return;
+    }
+    const bool isAnyArmed = std::any_of(m_ranks.begin(), m_ranks.end(), [](const auto& entry) { return entry.second.armed.has_value(); });
+    if (!isComplete(now) || (!held && (!isAnyArmed || allArmed(*m_ranks.begin()->second.armed)))) {
+        m_foreignSince.reset();
+        return;
+    }
+    if (!m_foreignSince)
+        m_foreignSince = now;
+    if (now - *m_foreignSince < foreignHoldTime)
+        return;
+    m_foreignSince.reset();
+    const auto& firstArmed = m_ranks.begin()->second.armed;
+    if (held)
+        m_step = *held;
+    if (held && firstArmed && allArmed(*firstArmed))
+        startRelease(now);
+    else
+        startTakingBack(now);
+}
+
+}
--- /dev/null
+++ b/expert_map/set_placement.cpp
@@ -0,0 +1,152 @@
+#include "expert_map/set_placement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace sardinelb {
+
+namespace {
+
+// Power of the mean that stands for the maximum. Unlike the maximum, it also falls when one of several busiest ranks gets
+// less.
+double steep(double value)
+{
+    const double square = value * value;
+    const double fourth = square * square;
+    return fourth * fourth;
+}
+
+double root(double value)
+{
+    return std::sqrt(std::sqrt(std::sqrt(value)));
+}
+
+}
+
+set_placement::set_placement(std::vector<std::vector<expert_number>> byRank, const std::vector<double>& popularity, const std::vector<double>& speeds)
+    : m_byRank(std::move(byRank))
+    , m_popularity(popularity)
+    , m_speeds(speeds)
+    , m_holders(popularity.size())
+    , m_loads(m_byRank.size())
+{
+    for (std::size_t rank = 0; rank < m_byRank.size(); ++rank) {
+        for (const expert_number expert : m_byRank[rank])
+            m_holders[expert].push_back(rank);
+        m_totalSpeed += m_speeds[rank];
+    }
+    for (std::size_t expert = 0; expert < m_holders.size(); ++expert) {
+        for (const std::size_t rank : m_holders[expert])
+            m_loads[rank] += partOf(expert, m_holders[expert].size());
+    }
+}
+
+bool set_placement::holds(std::size_t rank, std::size_t expert) const
+{
+    return std::binary_search(m_byRank[rank].begin(), m_byRank[rank].end(), static_cast<expert_number>(expert));
+}
+
+double set_placement::costWith(const std::vector<double>& loads) const
+{
+    // With perfect balance each rank carries its part of the total speed.
+    double sum = 0;
+    for (std::size_t rank = 0; rank < loads.size(); ++rank)
+        sum += steep(loads[rank] / m_speeds[rank] * m_totalSpeed);
+    return root(sum / static_cast<double>(loads.size()));
+}
+
+double set_placement::cost() const
+{
+    return costWith(m_loads);
+}
+
+double set_placement::balance() const
+{
+    double most = 0;
+    for (std::size_t rank = 0; rank < m_loads.size(); ++rank)
+        most = std::max(most, m_loads[rank] / m_speeds[rank] * m_totalSpeed);
+    return most;
+}
+
+std::size_t set_placement::busiest() const
+{
+    std::size_t most = 0;
+    for (std::size_t rank = 1; rank < m_loads.size(); ++rank) {
+        if (m_loads[rank] / m_speeds[rank] > m_loads[most] / m_speeds[most])
+            most = rank;
+    }
+    return most;
+}
+
+void set_placement::moveLoad(std::vector<double>& loads, const change& what) const
+{
+    if (what.added != change::none) {
+        const auto& holders = m_holders[what.added];
+        const double before = partOf(what.added, holders.size());
+        const double after = partOf(what.added, holders.size() + 1);
+        for (const std::size_t rank : holders)
+            loads[rank] += after - before;
+        loads[what.rank] += after;
+    }
+    if (what.dropped != change::none) {
+        const auto& holders = m_holders[what.dropped];
+        const double before = partOf(what.dropped, holders.size());
+        const double after = partOf(what.dropped, holders.size() - 1);
+        for (const std::size_t rank : holders)
+            loads[rank] += after - before;
+        loads[what.rank] -= after;
+    }
+}
+
+double set_placement::costAfter(const change& what) const
+{
+    std::vector<double> loads = m_loads;
+    moveLoad(loads, what);
+    return costWith(loads);
+}
+
+set_placement::change set_placement::best(std::uint32_t placesPerRank, const std::vector<bool>& mayCopyTo) const
+{
+    change result;
+    result.cost = std::numeric_limits<double>::infinity();
+    const auto consider = [&](change candidate) {
+        candidate.cost = costAfter(candidate);
+        if (candidate.cost < result.cost)
+            result = candidate;
+    };
+    const std::size_t from = busiest();
+    for (const expert_number expert : m_byRank[from]) {
+        if (m_holders[expert].size() > 1)
+            consider({ from, change::none, expert, 0 });
+        for (std::size_t to = 0; to < m_byRank.size(); ++to) {
+            if (!mayCopyTo[to] || m_loads[to] >= m_loads[from] || holds(to, expert))
+                continue;
+            if (m_byRank[to].size() < placesPerRank) {
+                consider({ to, expert, change::none, 0 });
+                continue;
+            }
+            for (const expert_number other : m_byRank[to]) {
+                if (m_holders[other].size() > 1)
+                    consider({ to, expert, other, 0 });
+            }
+        }
+    }
+    return result;
+}
+
+void set_placement::apply(const change& what)
+{
+    moveLoad(m_loads, what);
+    auto& held = m_byRank[what.rank];
+    if (what.dropped != change::none) {
+        std::erase(held, static_cast<expert_number>(what.dropped));
+        std::erase(m_holders[what.dropped], what.rank);
+    }
+    if (what.added != change::none) {
+        held.insert(std::lower_bound(held.begin(), held.end(), static_cast<expert_number>(what.added)), static_cast<expert_number>(what.added));
+        m_holders[what.added].push_back(what.rank);
+    }
+}
+
+}
--- /dev/null
+++ b/fleet/agent_process.cpp
@@ -0,0 +1,309 @@
+#include "fleet/agent_process.h"
+
+#include "fleet/caller_server.h"
+#include "fleet/event_log.h"
+#include "fleet/fleet_message.h"
+#include "fleet/group_coordinator.h"
+#include "fleet/peer_ports.h"
+#include "fleet/process_metrics.h"
+#include "fleet/steady_time.h"
+#include "platform/rank_client.h"
+#include "relay/datagram_port.h"
+#include "relay/endpoint.h"
+#include "relay/http_request_message.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <optional>
+
+namespace sardinelb {
+
+using boost::asio::ip::udp;
+
+namespace {
+
+// Entries judge a runner's load by reports of this interval.
+constexpr std::chrono::milliseconds reportInterval { 100 };
+
+// Every so many reports, the choices of experts are read too.
+constexpr std::uint32_t reportsPerChoices = 2;
+
+// An entry or agent that has not been heard of for this long is taken as gone. Beats come twice a second.
+constexpr duration memberLifetime = std::chrono::milliseconds(1700);
+
+}
+
+struct agent_process::implementation : std::enable_shared_from_this<implementation> {
+    struct entry_seen {
+        udp::endpoint address;
+        time_point at;
+    };
+
+    struct member_seen {
+        std::string address;
+        time_point at;
+    };
+
+    implementation(boost::asio::io_context& io, platform::settings values, event_log& events)
+        : context(io)
+        , options(std::move(values))
+        , log(events)
+        , runner(io.get_executor())
+        , timer(io)
+    {
+    }
+
+    boost::asio::io_context& context;
+    platform::settings options;
+    event_log& log;
+    process_metrics metrics;
+    platform::rank_client runner;
+    boost::asio::steady_timer timer;
+    std::shared_ptr<datagram_port> port;
+    std::shared_ptr<caller_server> status;
+    std::map<std::string, entry_seen> entries;
+    std::map<rank_id, member_seen> members;
+    // Where the runners of the group are, also of ranks that are silent.
+    std::map<rank_id, std::string> addresses;
+    group_coordinator::limits limits;
+    // The own rank, as last reported by the runner.
+    std::optional<rank_message> own;
+    std::optional<platform::held_experts> held;
+    std::uint64_t choicesEpoch = 0;
+    std::uint32_t reportCount = 0;
+    std::unique_ptr<group_coordinator> coordinator;
+
+    bool start();
+    void tick();
+    void scheduleTick();
+    void received(std::string_view bytes, const udp::endpoint& from);
+    void beatArrived(const entry_beat_message&, const udp::endpoint& from);
+    void reportArrived(std::optional<platform::runner_report>);
+    void readExperts(const rank_status&);
+    void readChoices();
+    void tellEntries(const platform::runner_report&);
+    void tellCoordinator();
+    rank_id lowestMember() const;
+    void leadGroup();
+    void sendOrder(const map_order&);
+    void readSilentRanks();
+    std::string addressOf(rank_id) const;
+    void forgetSilent();
+};
+
+bool agent_process::implementation::start()
+{
+    const auto self = shared_from_this();
+    port = std::make_shared<datagram_port>(context.get_executor(), [this](std::string_view bytes, const udp::endpoint& from) { received(bytes, from); });
+    caller_connection::hooks hooks;
+    hooks.request = [this](const std::shared_ptr<caller_connection>& caller, http_request_message&&) {
+        caller->answer(200, "Content-Type: text/plain; version=0.0.4\r\n", metrics.text());
+    };
+    hooks.refused = [](int, const char*) {};
+    status = std::make_shared<caller_server>(context.get_executor(), std::move(hooks));
+    std::string problem;
+    const std::string statusAddress = options.ip + ":" + std::to_string(options.firstPeerPort + agentStatusPort);
+    const bool isOpen = port->open(options.ip, options.firstPeerPort + agentDatagramPort, problem) && status->listen(statusAddress, problem);
+    if (!isOpen) {
+        log.write("listen_failed", { { "problem", problem } });
+        return false;
+    }
+    tick();
+    return true;
+}
+
+void agent_process::implementation::scheduleTick()
+{
+    timer.expires_after(reportInterval);
+    timer.async_wait([this](const boost::system::error_code& error) {
+        if (!error)
+            tick();
+    });
+}
+
+void agent_process::implementation::tick()
+{
+    scheduleTick();
+    forgetSilent();
+    ++reportCount;
+    if (reportCount % reportsPerChoices == 0)
+        readChoices();
+    runner.readReport(options.runnerAddress, [this](std::optional<platform::runner_report> report) { reportArrived(std::move(report)); });
+    leadGroup();
+}
+
+void agent_process::implementation::forgetSilent()
+{
+    const time_point now = steadyNow();
+    std::erase_if(entries, [&](const auto& entry) { return now - entry.second.at > memberLifetime; });
+    std::erase_if(members, [&](const auto& entry) { return now - entry.second.at > memberLifetime; });
+}
+
+void agent_process::implementation::received(std::string_view bytes, const udp::endpoint& from)
+{
+    const auto message = decode(bytes);
+    if (!message) {
+        log.write("datagram_unreadable", { { "from", from.address().to_string() } });
+        return;
+    }
+    if (const auto* beat = std::get_if<entry_beat_message>(&*message))
+        beatArrived(*beat, from);
+    else if (const auto* rank = std::get_if<rank_message>(&*message); rank && coordinator && own && rank->group == own->group)
+        coordinator->report(*rank, steadyNow());
+}
+
+void agent_process::implementation::beatArrived(const entry_beat_message& beat, const udp::endpoint& from)
+{
+    const time_point now = steadyNow();
+    const std::string ip = from.address().to_string();
+    if (beat.isStopping) {
+        entries.erase(ip);
+        return;
+    }
+    entries[ip] = { from, now };
+    if (!own || beat.group != own->group)
+        return;
+    for (const auto& member : beat.members) {
+        members[member.rank] = { member.address, now };
+        addresses[member.rank] = member.address;
+    }
+    if (beat.placesPerRank > 0)
+        limits = { beat.placesPerRank, beat.newPerRank, beat.expertCopyTime };
+}
+
+void agent_process::implementation::reportArrived(std::optional<platform::runner_report> report)
+{
+    if (!report)
+        return;
+    tellEntries(*report);
+    if (report->groupSize == 0)
+        return;
+    rank_message message;
+    message.group = report->load.group;
+    message.groupSize = report->groupSize;
+    message.status = report->status;
+    if (own && own->status.epoch == message.status.epoch)
+        message.choices = std::move(own->choices);
+    own = std::move(message);
+    const bool isHeldKnown = held && held->epoch == own->status.epoch && held->map == own->status.map;
+    if (isHeldKnown)
+        own->status.experts = held->experts;
+    else
+        readExperts(own->status);
+    tellCoordinator();
+}
+
+void agent_process::implementation::readExperts(const rank_status&)
+{
+    runner.readExperts(options.runnerAddress, [this](std::optional<platform::held_experts> answer) {
+        if (answer)
+            held = std::move(answer);
+    });
+}
+
+void agent_process::implementation::readChoices()
+{
+    runner.readChoices(options.runnerAddress, [this](std::optional<platform::expert_choices> answer) {
+        if (answer && own && answer->epoch == own->status.epoch)
+            own->choices = std::move(answer->choices);
+    });
+}
+
+void agent_process::implementation::tellEntries(const platform::runner_report& report)
+{
+    load_message message;
+    message.load = report.load;
+    for (const auto& [ip, entry] : entries)
+        message.entries.push_back(ip);
+    const std::string bytes = encode(message);
+    for (const auto& [ip, entry] : entries)
+        port->send(bytes, entry.address);
+}
+
+rank_id agent_process::implementation::lowestMember() const
+{
+    const rank_id mine = own->status.rank;
+    return members.empty() ? mine : std::min(mine, members.begin()->first);
+}
+
+void agent_process::implementation::tellCoordinator()
+{
+    if (!own || own->status.experts.empty())
+        return;
+    const rank_id lowest = lowestMember();
+    if (lowest == own->status.rank) {
+        if (coordinator)
+            coordinator->report(*own, steadyNow());
+    } else if (const auto to = udpEndpoint(members.at(lowest).address, options.firstPeerPort + agentDatagramPort)) {
+        port->send(encode(*own), *to);
+    }
+    own->choices.clear();
+}
+
+void agent_process::implementation::leadGroup()
+{
+    // Without an entry that knows the group, this agent cannot tell whether another one leads.
+    const bool isLeader = own && !members.empty() && lowestMember() == own->status.rank;
+    const bool isBusy = coordinator && coordinator->isBusy();
+    if (!isLeader && !isBusy) {
+        if (coordinator)
+            log.write("lead_ended", { { "group", own ? own->group.value() : "" } });
+        coordinator.reset();
+        return;
+    }
+    if (!coordinator) {
+        log.write("lead_began", { { "group", own->group.value() }, { "rank", static_cast<std::int64_t>(own->status.rank.value()) } });
+        coordinator = std::make_unique<group_coordinator>(own->group, own->status.rank, own->groupSize, log, group_coordinator::hooks { [this](const map_order& order) { sendOrder(order); } });
+    }
+    coordinator->setLimits(limits);
+    coordinator->advance(steadyNow());
+    readSilentRanks();
+}
+
+std::string agent_process::implementation::addressOf(rank_id rank) const
+{
+    if (own && rank == own->status.rank)
+        return options.runnerAddress;
+    const auto known = addresses.find(rank);
+    return known == addresses.end() ? std::string() : known->second;
+}
+
+void agent_process::implementation::sendOrder(const map_order& order)
+{
+    metrics.count("map_order");
+    runner.send(addressOf(order.rank), order, [this, order](map_order_result result) {
+        if (coordinator)
+            coordinator->orderAnswered(order, result, steadyNow());
+    });
+}
+
+void agent_process::implementation::readSilentRanks()
+{
+    for (const rank_id rank : coordinator->silentRanks(steadyNow())) {
+        runner.readReport(addressOf(rank), [this](std::optional<platform::runner_report> report) {
+            if (!report || !coordinator || report->load.group != own->group)
+                return;
+            coordinator->report({ report->load.group, report->groupSize, report->status, {} }, steadyNow());
+        });
+    }
+}
+
+agent_process::agent_process(boost::asio::io_context& context, platform::settings options, event_log& log)
+    : m_implementation(std::make_shared<implementation>(context, std::move(options), log))
+{
+}
+
+agent_process::~agent_process() = default;
+
+bool agent_process::start()
+{
+    return m_implementation->start();
+}
+
+void agent_process::stop()
+{
+    m_implementation->context.stop();
+}
+
+}
--- a/fleet/entry_process.cpp
+++ b/fleet/entry_process.cpp
@@ -2,7 +2,9 @@
 
 #include "fleet/caller_server.h"
 #include "fleet/entry_context.h"
+#include "fleet/entry_peers.h"
 #include "fleet/event_log.h"
+#include "fleet/peer_ports.h"
 #include "fleet/process_metrics.h"
 #include "fleet/request_relay.h"
 #include "fleet/steady_time.h"
@@ -18,6 +20,7 @@
 #include "serving/serving_configuration.h"
 
 #include <algorithm>
+#include <map>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -34,6 +37,10 @@
 
 // A stopping entry takes new connections until the platform's balancer has seen that it is not ready.
 constexpr std::chrono::milliseconds balancerNotice { 2600 };
+
+// After this time without an answer of the store, the list of runners is read from a peer that knows a newer one.
+constexpr std::chrono::milliseconds runnerListSilence { 1000 };
+
 constexpr std::chrono::milliseconds stopCheck { 100 };
 
 // A stopping entry ends what is left this long before it would be killed.
@@ -48,6 +55,7 @@
         , log(events)
         , store(io.get_executor(), options.storeAddress)
         , entry(io.get_executor(), options, log, metrics)
+        , peers(io, options, entry, log, entry_peers::hooks { [this] { return ownKnowledge(); }, [this](const std::string& ip, const entry_peers::knowledge& known) { peerKnows(ip, known); } })
         , listingTimer(io)
         , stopTimer(io)
     {
@@ -59,9 +67,16 @@
     process_metrics metrics;
     platform::store_client store;
     entry_context entry;
+    entry_peers peers;
     runner_listing listing;
+    // Rows of the tables as they were read, for peers that cannot reach the store.
+    std::map<std::string, platform::store_row> configurationRows;
+    std::map<std::string, platform::store_row> runnerRows;
+    // Peers that are being read, by IP number and table.
+    std::map<std::string, std::unique_ptr<platform::store_client>> peerReads;
     std::shared_ptr<caller_server> callers;
     std::shared_ptr<caller_server> status;
+    std::shared_ptr<caller_server> tables;
     std::shared_ptr<platform::table_follower> configurationFollower;
     std::shared_ptr<platform::table_follower> runnerFollower;
     boost::asio::steady_timer listingTimer;
@@ -81,6 +96,10 @@
     void useListing();
     void storeReachable(const char* table, bool isReachable);
     bool isReady() const;
+    entry_peers::knowledge ownKnowledge() const;
+    void peerKnows(const std::string& ip, const entry_peers::knowledge&);
+    void readFromPeer(const std::string& ip, std::string_view table, platform::table_follower&);
+    caller_connection::hooks tableHooks();
     void answerStatus(const std::shared_ptr<caller_connection>&, const http_request_message&);
     void stop();
     void continueStop();
@@ -90,9 +109,16 @@
 {
     if (!listen(status, statusHooks(), options.readyAddress) || !listen(callers, callerHooks(), options.callerAddress))
         return false;
+    const std::string tableAddress = options.ip + ":" + std::to_string(options.firstPeerPort + entryTablePort);
+    if (!listen(tables, tableHooks(), tableAddress))
+        return false;
     followConfiguration();
     followRunners();
-    return true;
+    std::string problem;
+    if (peers.start(problem))
+        return true;
+    log.write("listen_failed", { { "problem", problem } });
+    return false;
 }
 
 bool entry_process::implementation::listen(std::shared_ptr<caller_server>& server, caller_connection::hooks hooks, const std::string& address)
@@ -138,6 +164,56 @@
         caller->answer(404, "", "");
 }
 
+caller_connection::hooks entry_process::implementation::tableHooks()
+{
+    caller_connection::hooks hooks;
+    hooks.request = [this](const std::shared_ptr<caller_connection>& caller, http_request_message&& message) {
+        const std::string table = platform::tableOfRead(message.target);
+        std::vector<platform::store_row> rows;
+        if (table == platform::configurationTable) {
+            for (const auto& [key, row] : configurationRows)
+                rows.push_back(row);
+            caller->answer(200, "", platform::encodeRows(rows, configurationFollower->revision()));
+        } else if (table == platform::runnerTable) {
+            for (const auto& [key, row] : runnerRows)
+                rows.push_back(row);
+            caller->answer(200, "", platform::encodeRows(rows, runnerFollower->revision()));
+        } else {
+            caller->answer(404, "", "");
+        }
+    };
+    hooks.refused = [](int, const char*) {};
+    return hooks;
+}
+
+entry_peers::knowledge entry_process::implementation::ownKnowledge() const
+{
+    return { entry.configurationVersion(), runnerFollower->revision() };
+}
+
+void entry_process::implementation::peerKnows(const std::string& ip, const entry_peers::knowledge& known)
+{
+    if (known.configuration > entry.configurationVersion())
+        readFromPeer(ip, platform::configurationTable, *configurationFollower);
+    const bool isBehind = known.runnerList > runnerFollower->revision() && runnerFollower->silence() > runnerListSilence;
+    if (isBehind)
+        readFromPeer(ip, platform::runnerTable, *runnerFollower);
+}
+
+void entry_process::implementation::readFromPeer(const std::string& ip, std::string_view table, platform::table_follower& follower)
+{
+    const std::string name = ip + " " + std::string(table);
+    if (peerReads.contains(name))
+        return;
+    log.write("peer_read", { { "ip", ip }, { "table", table }, { "store_silent_ms", follower.silence().count() } });
+    const std::string address = ip + ":" + std::to_string(options.firstPeerPort + entryTablePort);
+    auto& client = peerReads[name] = std::make_unique<platform::store_client>(context.get_executor(), address);
+    client->read(std::string(table), "", [this, name, &follower](platform::store_answer answer) {
+        follower.offer(answer);
+        boost::asio::post(context, [this, name] { peerReads.erase(name); });
+    });
+}
+
 bool entry_process::implementation::isReady() const
 {
     return entry.routes() && knowsRunners && !isStopping;
@@ -166,6 +242,7 @@
     for (const platform::store_row& row : rows) {
         if (row.key != platform::configurationKey || row.isRemoved)
             continue;
+        configurationRows[row.key] = row;
         std::string problem;
         const auto configuration = platform::readConfiguration(row.value, problem);
         if (!configuration) {
@@ -173,14 +250,23 @@
             continue;
         }
         callers->setLimits(configuration->limits);
+        const bool isNewer = configuration->version > entry.configurationVersion();
         entry.setConfiguration(std::make_shared<route_index>(configuration));
+        if (isNewer)
+            peers.tellAll();
     }
 }
 
 void entry_process::implementation::runnersChanged(const std::vector<platform::store_row>& rows, bool isWhole)
 {
+    if (isWhole)
+        runnerRows.clear();
     std::vector<runner_listing::change> changes;
     for (const platform::store_row& row : rows) {
+        if (row.isRemoved)
+            runnerRows.erase(row.key);
+        else
+            runnerRows[row.key] = row;
         runner_listing::change change { runner_id(row.key), std::nullopt };
         if (!row.isRemoved) {
             change.runner = platform::readRunner(row.key, row.value);
@@ -233,6 +319,7 @@
         return;
     isStopping = true;
     stoppingSince = steadyNow();
+    peers.leave();
     log.write("stopping", { { "requests", static_cast<std::int64_t>(entry.activeRequests) } });
     continueStop();
 }
--- /dev/null
+++ b/fleet/fleet_message.cpp
@@ -0,0 +1,163 @@
+#include "fleet/fleet_message.h"
+
+#include "protocol/generated/fleet_generated.h"
+
+namespace sardinelb {
+
+namespace {
+
+namespace wire = fleet_wire;
+
+struct encoder {
+    flatbuffers::FlatBufferBuilder& builder;
+
+    void operator()(const entry_beat_message& message) const
+    {
+        std::vector<flatbuffers::Offset<wire::group_member>> members;
+        for (const auto& member : message.members)
+            members.push_back(wire::Creategroup_memberDirect(builder, member.rank.value(), member.address.c_str()));
+        const auto body = wire::Createentry_beatDirect(builder, message.daemon.value().c_str(), message.configuration.value(),
+            message.runnerList.value(), message.isStopping, message.group.value().c_str(), &members,
+            message.placesPerRank, message.newPerRank, static_cast<std::uint64_t>(message.expertCopyTime.count()));
+        finish(wire::datagram_body::entry_beat, body.Union());
+    }
+
+    void operator()(const load_message& message) const
+    {
+        const rank_load& load = message.load;
+        std::vector<flatbuffers::Offset<flatbuffers::String>> entries;
+        for (const std::string& entry : message.entries)
+            entries.push_back(builder.CreateString(entry));
+        const auto body = wire::Createload_reportDirect(builder, load.group.value().c_str(), load.rank.value(), load.running,
+            load.waiting, load.pace, load.isGroupOpen, &entries);
+        finish(wire::datagram_body::load_report, body.Union());
+    }
+
+    void operator()(const rank_message& message) const
+    {
+        const rank_status& status = message.status;
+        std::vector<std::uint16_t> counts;
+        std::vector<std::uint16_t> experts;
+        for (const auto& set : status.experts) {
+            counts.push_back(static_cast<std::uint16_t>(set.size()));
+            experts.insert(experts.end(), set.begin(), set.end());
+        }
+        const auto body = wire::Createrank_reportDirect(builder, message.group.value().c_str(), status.rank.value(), message.groupSize,
+            status.epoch, status.step.value(), status.map.value(), status.prepared.value_or(map_version {}).value(), status.prepared.has_value(),
+            status.armed.value_or(map_version {}).value(), status.armed.has_value(), status.held.value_or(step_number {}).value(),
+            status.held.has_value(), status.isOpen, status.pace, &counts, &experts, &message.choices);
+        finish(wire::datagram_body::rank_report, body.Union());
+    }
+
+    void finish(wire::datagram_body type, flatbuffers::Offset<void> body) const
+    {
+        builder.Finish(wire::Createdatagram(builder, type, body));
+    }
+};
+
+std::string text(const flatbuffers::String* value)
+{
+    return value ? value->str() : std::string();
+}
+
+fleet_message read(const wire::entry_beat& body)
+{
+    entry_beat_message message;
+    message.daemon = daemon_id(text(body.daemon()));
+    message.configuration = config_version(body.configuration());
+    message.runnerList = row_revision(body.runner_list());
+    message.isStopping = body.stopping();
+    message.group = group_id(text(body.group()));
+    if (body.members()) {
+        for (const auto* member : *body.members())
+            message.members.push_back({ rank_id(member->rank()), text(member->address()) });
+    }
+    message.placesPerRank = body.places_per_rank();
+    message.newPerRank = body.new_per_rank();
+    message.expertCopyTime = duration(body.expert_copy_us());
+    return message;
+}
+
+fleet_message read(const wire::load_report& body)
+{
+    load_message message;
+    message.load.group = group_id(text(body.group()));
+    message.load.rank = rank_id(body.rank());
+    message.load.running = body.running();
+    message.load.waiting = body.waiting();
+    message.load.pace = body.pace();
+    message.load.isGroupOpen = body.open();
+    if (body.entries()) {
+        for (const auto* entry : *body.entries())
+            message.entries.push_back(text(entry));
+    }
+    return message;
+}
+
+void readExperts(const wire::rank_report& body, rank_status& status)
+{
+    if (!body.expert_counts() || !body.experts())
+        return;
+    std::size_t next = 0;
+    for (const std::uint16_t count : *body.expert_counts()) {
+        if (next + count > body.experts()->size())
+            return;
+        const auto first = body.experts()->begin() + static_cast<std::ptrdiff_t>(next);
+        status.experts.emplace_back(first, first + count);
+        next += count;
+    }
+}
+
+fleet_message read(const wire::rank_report& body)
+{
+    rank_message message;
+    message.group = group_id(text(body.group()));
+    message.groupSize = body.size();
+    rank_status& status = message.status;
+    status.rank = rank_id(body.rank());
+    status.epoch = body.epoch();
+    status.step = step_number(body.step());
+    status.map = map_version(body.map());
+    if (body.has_prepared())
+        status.prepared = map_version(body.prepared());
+    if (body.has_armed())
+        status.armed = map_version(body.armed());
+    if (body.has_held())
+        status.held = step_number(body.held());
+    status.isOpen = body.open();
+    status.pace = body.pace();
+    readExperts(body, status);
+    if (body.choices())
+        message.choices.assign(body.choices()->begin(), body.choices()->end());
+    return message;
+}
+
+}
+
+std::string encode(const fleet_message& message)
+{
+    flatbuffers::FlatBufferBuilder builder(512);
+    std::visit(encoder { builder }, message);
+    return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
+}
+
+std::optional<fleet_message> decode(std::string_view bytes)
+{
+    flatbuffers::Verifier verifier(reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
+    if (!wire::VerifydatagramBuffer(verifier))
+        return std::nullopt;
+    const auto* datagram = wire::Getdatagram(bytes.data());
+    switch (datagram->body_type()) {
+    case wire::datagram_body::entry_beat:
+        return read(*datagram->body_as_entry_beat());
+    case wire::datagram_body::load_report:
+        return read(*datagram->body_as_load_report());
+    case wire::datagram_body::rank_report:
+        return read(*datagram->body_as_rank_report());
+    case wire::datagram_body::NONE:
+        break;
+    }
+    return std::nullopt;
+}
+
+}
--- /dev/null
+++ b/fleet/group_coordinator.cpp
@@ -0,0 +1,148 @@
+#include "fleet/group_coordinator.h"
+
+#include "fleet/event_log.h"
+#include "fleet/fleet_message.h"
+
+#include <algorithm>
+
+namespace sardinelb {
+
+namespace {
+
+// Demand is looked at this often.
+constexpr duration planInterval = std::chrono::milliseconds(250);
+
+// Fewer recent choices of an expert than this, on the average, say little about the demand.
+constexpr double choicesPerExpert = 20;
+
+// Reports come ten times a second.
+constexpr duration silence = std::chrono::milliseconds(350);
+
+const char* nameOf(map_switch::stage stage)
+{
+    switch (stage) {
+    case map_switch::stage::Idle:
+        return "idle";
+    case map_switch::stage::Preparing:
+        return "preparing";
+    case map_switch::stage::Holding:
+        return "holding";
+    case map_switch::stage::Arming:
+        return "arming";
+    case map_switch::stage::Releasing:
+        return "releasing";
+    case map_switch::stage::TakingBack:
+        return "taking_back";
+    }
+    return "";
+}
+
+const char* nameOf(map_order::kind kind)
+{
+    switch (kind) {
+    case map_order::kind::Prepare:
+        return "prepare";
+    case map_order::kind::Arm:
+        return "arm";
+    case map_order::kind::Disarm:
+        return "disarm";
+    case map_order::kind::Hold:
+        return "hold";
+    case map_order::kind::Release:
+        return "release";
+    }
+    return "";
+}
+
+}
+
+group_coordinator::group_coordinator(group_id group, rank_id coordinator, std::uint32_t groupSize, event_log& log, hooks receivers)
+    : m_group(std::move(group))
+    , m_log(log)
+    , m_hooks(std::move(receivers))
+    , m_switch(coordinator, groupSize)
+{
+}
+
+void group_coordinator::report(const rank_message& message, time_point now)
+{
+    rank_status status = message.status;
+    status.at = now;
+    m_sets = static_cast<std::uint32_t>(status.experts.size());
+    if (m_sets > 0 && !message.choices.empty()) {
+        if (!m_demand)
+            m_demand.emplace(m_sets, static_cast<std::uint32_t>(message.choices.size() / m_sets));
+        m_demand->report(status.rank, message.choices, now);
+    }
+    m_switch.report(status);
+}
+
+void group_coordinator::orderAnswered(const map_order& order, map_order_result result, time_point now)
+{
+    const auto before = m_switch.now();
+    if (result != map_order_result::Accepted)
+        m_log.write("map_order_failed", { { "group", m_group.value() }, { "order", nameOf(order.what) }, { "rank", static_cast<std::int64_t>(order.rank.value()) }, { "version", static_cast<std::int64_t>(order.version.value()) }, { "answered", result == map_order_result::Refused } });
+    m_switch.orderAnswered(order, result, now);
+    logStage(before);
+    sendOrders();
+}
+
+void group_coordinator::advance(time_point now)
+{
+    const auto before = m_switch.now();
+    m_switch.advance(now);
+    if (m_switch.now() == map_switch::stage::Idle && now - m_plannedAt >= planInterval)
+        planNext(now);
+    logStage(before);
+    sendOrders();
+}
+
+void group_coordinator::planNext(time_point now)
+{
+    m_plannedAt = now;
+    const auto current = m_switch.currentPlacement(now);
+    if (!current || !m_demand || m_limits.placesPerRank == 0)
+        return;
+    const std::vector<std::vector<double>> popularity = m_demand->popularity();
+    const double experts = static_cast<double>(popularity.size() * popularity.front().size());
+    if (m_demand->recentChoices() < choicesPerExpert * experts)
+        return;
+    std::vector<double> speeds;
+    for (const auto& [rank, status] : m_switch.ranks())
+        speeds.push_back(1 / std::max(1.0, status.pace));
+    placement_planner::settings settings;
+    settings.placesPerRank = m_limits.placesPerRank;
+    settings.newPerRank = m_limits.newPerRank;
+    const auto plan = placement_planner(settings).improve(*current, popularity, speeds);
+    if (!plan)
+        return;
+    const duration copyTime = m_limits.expertCopyTime * settings.copiesPerRank;
+    if (m_switch.begin(plan->placement, copyTime, now))
+        m_log.write("map_plan", { { "group", m_group.value() }, { "version", static_cast<std::int64_t>(m_switch.target().value()) }, { "copies", static_cast<std::int64_t>(plan->copies) }, { "balance_before", plan->balanceBefore }, { "balance_after", plan->balanceAfter } });
+}
+
+std::vector<rank_id> group_coordinator::silentRanks(time_point now) const
+{
+    std::vector<rank_id> silent;
+    if (m_switch.now() == map_switch::stage::Idle)
+        return silent;
+    for (const auto& [rank, status] : m_switch.ranks()) {
+        if (now - status.at > silence)
+            silent.push_back(rank);
+    }
+    return silent;
+}
+
+void group_coordinator::sendOrders()
+{
+    for (const map_order& order : m_switch.takeOrders())
+        m_hooks.send(order);
+}
+
+void group_coordinator::logStage(map_switch::stage before)
+{
+    if (m_switch.now() != before)
+        m_log.write("map_switch", { { "group", m_group.value() }, { "version", static_cast<std::int64_t>(m_switch.target().value()) }, { "stage", nameOf(m_switch.now()) } });
+}
+
+}
--- /dev/null
+++ b/fleet/group_coordinator.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "expert_map/expert_demand.h"
+#include "expert_map/map_switch.h"
+#include "expert_map/placement_planner.h"
+#include "state/ids.h"
+#include "state/time.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sardinelb {
+
+class event_log;
+struct rank_message;
+
+// Keeps the expert map of one group fitted to the demand, for as long as this process is the group's coordinator.
+class group_coordinator {
+public:
+    // Limits of the group's expert maps.
+    struct limits {
+        std::uint32_t placesPerRank = 0;
+        std::uint32_t newPerRank = 0;
+        duration expertCopyTime {};
+    };
+
+    struct hooks {
+        std::function<void(const map_order&)> send;
+    };
+
+    group_coordinator(group_id, rank_id coordinator, std::uint32_t groupSize, event_log&, hooks);
+
+    void setLimits(const limits& values) { m_limits = values; }
+
+    // Takes what a rank reports.
+    void report(const rank_message&, time_point now);
+
+    void orderAnswered(const map_order&, map_order_result, time_point now);
+
+    // Goes on as time passes; call ten times a second.
+    void advance(time_point now);
+
+    // Whether a switch is under way, which must not be left as it stands.
+    bool isBusy() const { return m_switch.now() != map_switch::stage::Idle; }
+
+    // Ranks that have not reported for a while although the state of a switch depends on them.
+    std::vector<rank_id> silentRanks(time_point now) const;
+
+private:
+    void planNext(time_point now);
+    void sendOrders();
+    void logStage(map_switch::stage before);
+
+    group_id m_group;
+    event_log& m_log;
+    hooks m_hooks;
+    limits m_limits;
+    map_switch m_switch;
+    std::optional<expert_demand> m_demand;
+    std::uint32_t m_sets = 0;
+    time_point m_plannedAt;
+};
+
+}
--- a/fleet/sardinelb_fleet.cpp
+++ b/fleet/sardinelb_fleet.cpp
@@ -1,3 +1,4 @@
+#include "fleet/agent_process.h"
 #include "fleet/entry_process.h"
 #include "fleet/event_log.h"
 #include "platform/names.h"
@@ -34,12 +35,13 @@
     });
 }
 
-int runEntry(const settings& options, const std::string& path)
+template <typename Process>
+int run(const settings& options, const std::string& role, const std::string& path)
 {
     boost::asio::io_context context(1);
     event_log log(options.daemon.value());
-    log.write("start", { { "role", "entry" }, { "zone", options.zone.value() }, { "callers", options.callerAddress } });
-    sardinelb::entry_process process(context, options, log);
+    log.write("start", { { "role", role }, { "zone", options.zone.value() }, { "callers", options.callerAddress }, { "runner", options.runnerAddress } });
+    Process process(context, options, log);
     if (!process.start())
         return EXIT_FAILURE;
     boost::asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
@@ -66,7 +68,9 @@
     const std::string role = argv[1];
     std::signal(SIGPIPE, SIG_IGN);
     if (role == "entry")
-        return runEntry(*options, path);
+        return run<sardinelb::entry_process>(*options, role, path);
+    if (role == "agent")
+        return run<sardinelb::agent_process>(*options, role, path);
     std::cerr << "sardinelb-fleet: unknown role '" << role << "'; entry or agent\n";
     return EXIT_FAILURE;
 }
