--- a/expert_map/map_switch.cpp
+++ b/expert_map/map_switch.cpp
@@ -133,6 +133,7 @@
     m_stage = next;
     m_stageSince = now;
     m_lastTry.clear();
+    m_lastAnswer.clear();
 }
 
 void map_switch::abandon(duration pause, time_point now)
@@ -213,7 +214,9 @@
         if (!isAccepted)
             abandon(pause, now);
     } else if (m_stage == stage::Holding && sent.what == map_order::kind::Hold && sent.step == m_step) {
-        if (isAccepted) {
+        // A coordinator that was stopped for a while may have been replaced.
+        const bool isTimely = now - m_stageSince <= answerTime;
+        if (isAccepted && isTimely) {
             startArming(now);
         } else if (result == map_order_result::Refused) {
             abandon(shortPause, now);
@@ -227,20 +230,21 @@
             return;
         }
         m_armed.push_back(sent.rank);
-        // A coordinator that was stopped for a while no longer knows that the ranks are still armed.
         const bool isTimely = now - m_stageSince <= answerTime;
         if (!isTimely)
             startTakingBack(now);
         else if (m_armed.size() == m_groupSize)
             startRelease(now);
+    } else if (m_stage == stage::TakingBack) {
+        m_lastAnswer[sent.rank] = now;
     }
 }
 
-void map_switch::advance(time_point now)
+void map_switch::advance(time_point now, bool isLeading)
 {
     switch (m_stage) {
     case stage::Idle:
-        watchForeignHold(now);
+        watchForeignHold(now, isLeading);
         return;
     case stage::Preparing:
         advancePreparing(now);
@@ -284,7 +288,8 @@
 
 void map_switch::advanceReleasing(time_point now)
 {
-    const bool isReleased = heldStep() != m_step && m_ranks.at(holder).at > m_lastTry[holder];
+    const auto known = m_ranks.find(holder);
+    const bool isReleased = known != m_ranks.end() && known->second.held != m_step && known->second.at > m_lastTry[holder];
     if (isReleased) {
         abandon(duration {}, now);
         return;
@@ -297,9 +302,12 @@
 
 void map_switch::takeBack(const rank_status& status, time_point now)
 {
+    const auto answered = m_lastAnswer.find(status.rank);
+    const bool isAnswerKnown = answered != m_lastAnswer.end() && status.at > answered->second;
     const auto last = m_lastTry.find(status.rank);
-    if (last != m_lastTry.end() && now - last->second < repeatAfter)
+    if (last != m_lastTry.end() && now - last->second < repeatAfter && !isAnswerKnown)
         return;
+    m_lastAnswer.erase(status.rank);
     m_lastTry[status.rank] = now;
     if (status.armed)
         order(map_order::kind::Disarm, status.rank, *status.armed, {});
@@ -313,10 +321,11 @@
     for (const auto& [rank, status] : m_ranks) {
         // Reports of before this stage do not show what late orders did.
         const bool isFresh = status.at > m_stageSince;
-        if (isFresh && !status.armed && status.prepared == m_voidVersion)
+        if (isFresh && !status.armed && status.prepared >= m_voidVersion)
             continue;
         isVoid = false;
-        takeBack(status, now);
+        if (isFresh)
+            takeBack(status, now);
     }
     if (!isVoid)
         return;
@@ -329,10 +338,10 @@
     }
 }
 
-void map_switch::watchForeignHold(time_point now)
+void map_switch::watchForeignHold(time_point now, bool isLeading)
 {
     const auto held = heldStep();
-    if (held && held == m_abandonedHold) {
+    if (held && held == m_abandonedHold && isLeading) {
         m_step = *held;
         startRelease(now);
         m_notBefore = now + longPause;
@@ -345,7 +354,7 @@
     }
     if (!m_foreignSince)
         m_foreignSince = now;
-    if (now - *m_foreignSince < foreignHoldTime)
+    if (now - *m_foreignSince < foreignHoldTime || !isLeading)
         return;
     m_foreignSince.reset();
     const auto& firstArmed = m_ranks.begin()->second.armed;
--- a/expert_map/map_switch.h
+++ b/expert_map/map_switch.h
@@ -48,8 +48,9 @@
 
     void orderAnswered(const map_order&, map_order_result, time_point now);
 
-    // Goes on as time passes. Call several times a second.
-    void advance(time_point now);
+    // Goes on as time passes. Call several times a second. A coordinator that does not lead only watches, so that it knows
+    // how long a hold has stood when it takes over.
+    void advance(time_point now, bool isLeading);
 
     // Orders to send now, in this order.
     std::vector<map_order> takeOrders();
@@ -77,7 +78,7 @@
     void advanceReleasing(time_point now);
     void advanceTakingBack(time_point now);
     void takeBack(const rank_status&, time_point now);
-    void watchForeignHold(time_point now);
+    void watchForeignHold(time_point now, bool isLeading);
     bool allPrepared(map_version) const;
     bool allArmed(map_version) const;
     std::uint64_t highestVersion() const;
@@ -100,6 +101,8 @@
     duration m_copyTime {};
     std::vector<rank_id> m_armed;
     std::map<rank_id, time_point> m_lastTry;
+    // When the last order to each rank was answered; only later reports show what it did.
+    std::map<rank_id, time_point> m_lastAnswer;
     std::vector<map_order> m_orders;
     // A hold or armed rank that no switch of this coordinator explains, and since when.
     std::optional<time_point> m_foreignSince;
--- a/fleet/agent_process.cpp
+++ b/fleet/agent_process.cpp
@@ -14,8 +14,10 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace sardinelb {
 
@@ -32,6 +34,12 @@
 // An entry or agent that has not been heard of for this long is taken as gone. Beats come twice a second.
 constexpr duration memberLifetime = std::chrono::milliseconds(1700);
 
+// A deputy takes over when the coordinator's reports, ten a second, have been missing for this long.
+constexpr duration leaderSilence = std::chrono::milliseconds(500);
+
+// Agents that hear of all ranks: the coordinator and its deputy.
+constexpr std::size_t coordinators = 2;
+
 }
 
 struct agent_process::implementation : std::enable_shared_from_this<implementation> {
@@ -73,6 +81,9 @@
     std::uint64_t choicesEpoch = 0;
     std::uint32_t reportCount = 0;
     std::unique_ptr<group_coordinator> coordinator;
+    // When the agent of each rank was last heard of, by its own reports.
+    std::map<rank_id, time_point> heardAt;
+    bool isLeading = false;
 
     bool start();
     void tick();
@@ -84,8 +95,10 @@
     void readChoices();
     void tellEntries(const platform::runner_report&);
     void tellCoordinator();
-    rank_id lowestMember() const;
+    std::vector<rank_id> lowestMembers() const;
+    bool shouldLead(time_point now) const;
     void leadGroup();
+    void startCoordinator();
     void sendOrder(const map_order&);
     void readSilentRanks();
     std::string addressOf(rank_id) const;
@@ -149,8 +162,10 @@
     }
     if (const auto* beat = std::get_if<entry_beat_message>(&*message))
         beatArrived(*beat, from);
-    else if (const auto* rank = std::get_if<rank_message>(&*message); rank && coordinator && own && rank->group == own->group)
+    else if (const auto* rank = std::get_if<rank_message>(&*message); rank && coordinator && own && rank->group == own->group) {
+        heardAt[rank->status.rank] = steadyNow();
         coordinator->report(*rank, steadyNow());
+    }
 }
 
 void agent_process::implementation::beatArrived(const entry_beat_message& beat, const udp::endpoint& from)
@@ -169,7 +184,7 @@
         addresses[member.rank] = member.address;
     }
     if (beat.placesPerRank > 0)
-        limits = { beat.placesPerRank, beat.newPerRank, beat.expertCopyTime };
+        limits = { beat.placesPerRank, beat.newPerRank, beat.expertCopyTime, beat.slots };
 }
 
 void agent_process::implementation::reportArrived(std::optional<platform::runner_report> report)
@@ -183,6 +198,7 @@
     message.group = report->load.group;
     message.groupSize = report->groupSize;
     message.status = report->status;
+    message.running = report->load.running;
     if (own && own->status.epoch == message.status.epoch)
         message.choices = std::move(own->choices);
     own = std::move(message);
@@ -221,44 +237,82 @@
         port->send(bytes, entry.address);
 }
 
-rank_id agent_process::implementation::lowestMember() const
+std::vector<rank_id> agent_process::implementation::lowestMembers() const
 {
-    const rank_id mine = own->status.rank;
-    return members.empty() ? mine : std::min(mine, members.begin()->first);
+    std::vector<rank_id> ranks { own->status.rank };
+    for (const auto& [rank, member] : members) {
+        if (rank != own->status.rank)
+            ranks.push_back(rank);
+    }
+    std::sort(ranks.begin(), ranks.end());
+    if (ranks.size() > coordinators)
+        ranks.resize(coordinators);
+    return ranks;
 }
 
 void agent_process::implementation::tellCoordinator()
 {
     if (!own || own->status.experts.empty())
         return;
-    const rank_id lowest = lowestMember();
-    if (lowest == own->status.rank) {
-        if (coordinator)
-            coordinator->report(*own, steadyNow());
-    } else if (const auto to = udpEndpoint(members.at(lowest).address, options.firstPeerPort + agentDatagramPort)) {
-        port->send(encode(*own), *to);
+    const std::vector<rank_id> receivers = lowestMembers();
+    for (const rank_id rank : receivers) {
+        if (rank == own->status.rank) {
+            if (coordinator)
+                coordinator->report(*own, steadyNow());
+        } else if (const auto to = udpEndpoint(members.at(rank).address, options.firstPeerPort + agentDatagramPort)) {
+            port->send(encode(*own), *to);
+        }
     }
     own->choices.clear();
 }
 
-void agent_process::implementation::leadGroup()
+bool agent_process::implementation::shouldLead(time_point now) const
 {
     // Without an entry that knows the group, this agent cannot tell whether another one leads.
-    const bool isLeader = own && !members.empty() && lowestMember() == own->status.rank;
+    if (!own || members.empty())
+        return false;
+    const std::vector<rank_id> candidates = lowestMembers();
+    if (std::find(candidates.begin(), candidates.end(), own->status.rank) == candidates.end())
+        return false;
+    return std::all_of(candidates.begin(), candidates.end(), [&](rank_id rank) {
+        if (rank >= own->status.rank)
+            return true;
+        const auto heard = heardAt.find(rank);
+        return heard != heardAt.end() && now - heard->second > leaderSilence;
+    });
+}
+
+void agent_process::implementation::startCoordinator()
+{
+    coordinator = std::make_unique<group_coordinator>(own->group, own->status.rank, own->groupSize, log, group_coordinator::hooks { [this](const map_order& order) { sendOrder(order); } });
+    // The silence of lower ranks counts from now on.
+    const time_point now = steadyNow();
+    for (const rank_id rank : lowestMembers())
+        heardAt[rank] = now;
+}
+
+void agent_process::implementation::leadGroup()
+{
+    const time_point now = steadyNow();
+    if (!own)
+        return;
+    const std::vector<rank_id> candidates = lowestMembers();
+    const bool isCandidate = !members.empty() && std::find(candidates.begin(), candidates.end(), own->status.rank) != candidates.end();
     const bool isBusy = coordinator && coordinator->isBusy();
-    if (!isLeader && !isBusy) {
-        if (coordinator)
-            log.write("lead_ended", { { "group", own ? own->group.value() : "" } });
+    if (!isCandidate && !isBusy)
         coordinator.reset();
+    if (isCandidate && !coordinator)
+        startCoordinator();
+    const bool leads = coordinator && (shouldLead(now) || isBusy);
+    if (leads != isLeading)
+        log.write(leads ? "lead_began" : "lead_ended", { { "group", own->group.value() }, { "rank", static_cast<std::int64_t>(own->status.rank.value()) } });
+    isLeading = leads;
+    if (!coordinator)
         return;
-    }
-    if (!coordinator) {
-        log.write("lead_began", { { "group", own->group.value() }, { "rank", static_cast<std::int64_t>(own->status.rank.value()) } });
-        coordinator = std::make_unique<group_coordinator>(own->group, own->status.rank, own->groupSize, log, group_coordinator::hooks { [this](const map_order& order) { sendOrder(order); } });
-    }
     coordinator->setLimits(limits);
-    coordinator->advance(steadyNow());
-    readSilentRanks();
+    coordinator->advance(now, isLeading);
+    if (isLeading)
+        readSilentRanks();
 }
 
 std::string agent_process::implementation::addressOf(rank_id rank) const
@@ -284,7 +338,7 @@
         runner.readReport(addressOf(rank), [this](std::optional<platform::runner_report> report) {
             if (!report || !coordinator || report->load.group != own->group)
                 return;
-            coordinator->report({ report->load.group, report->groupSize, report->status, {} }, steadyNow());
+            coordinator->report({ report->load.group, report->groupSize, report->status, report->load.running, {} }, steadyNow());
         });
     }
 }
--- a/fleet/agent_process.h
+++ b/fleet/agent_process.h
@@ -11,7 +11,8 @@
 class event_log;
 
 // The program beside a model runner: tells the entries of the runner's load, and the coordinator of its group of its expert
-// map and of the demand for experts. The agent of the lowest rank that is heard of is the coordinator.
+// map and of the demand for experts. The agent of the lowest rank that is heard of is the coordinator; the
+// next one is its deputy, which hears the same and takes over when the coordinator falls silent.
 class agent_process {
 public:
     agent_process(boost::asio::io_context&, platform::settings, event_log&);
--- a/fleet/entry_context.cpp
+++ b/fleet/entry_context.cpp
@@ -55,6 +55,13 @@
     return m_retries.try_emplace(pool, m_settings.retries).first->second;
 }
 
+duration entry_context::longestPatience(const std::string& route, duration patience)
+{
+    duration& longest = m_longestPatience[route];
+    longest = std::max(longest, patience);
+    return longest;
+}
+
 const pool_id* entry_context::pickPool(const traffic_route& route)
 {
     std::uint64_t total = 0;
--- a/fleet/entry_context.h
+++ b/fleet/entry_context.h
@@ -56,6 +56,9 @@
     void fillRoom(const pool_id&);
     void fillRoom();
 
+    // Returns the longest patience that a caller of the route has named, this one included.
+    duration longestPatience(const std::string& route, duration patience);
+
     // Picks one of the pools of a route by weight.
     const pool_id* pickPool(const traffic_route&);
 
@@ -74,6 +77,7 @@
     std::map<pool_id, waiting_line> m_lines;
     std::unordered_map<std::uint64_t, std::weak_ptr<request_relay>> m_waiting;
     std::unordered_map<pool_id, retry_share> m_retries;
+    std::unordered_map<std::string, duration> m_longestPatience;
     std::uint64_t m_lastTicket = 0;
     std::size_t m_entriesAlive = 1;
     boost::asio::steady_timer m_fillTimer;
--- a/fleet/entry_peers.cpp
+++ b/fleet/entry_peers.cpp
@@ -54,6 +54,7 @@
 {
     forgetSilent();
     tellAll();
+    logGroups();
     m_timer.expires_after(beatInterval);
     m_timer.async_wait([this](const boost::system::error_code& error) {
         if (!error)
@@ -61,6 +62,12 @@
     });
 }
 
+void entry_peers::logGroups()
+{
+    for (const auto& view : m_entry.runners().groups())
+        m_log.write("group_pace", { { "group", view.group.value() }, { "limit", view.limitPerRank }, { "gap_ms", view.gapMs } });
+}
+
 void entry_peers::forgetSilent()
 {
     const time_point now = steadyNow();
@@ -130,6 +137,7 @@
     message.placesPerRank = engine.expertsPerRank;
     message.newPerRank = engine.newExpertsPerRank;
     message.expertCopyTime = engine.expertCopyTime;
+    message.slots = engine.slots;
 }
 
 void entry_peers::received(std::string_view bytes, const udp::endpoint& from)
--- a/fleet/entry_peers.h
+++ b/fleet/entry_peers.h
@@ -67,6 +67,7 @@
     void tellAgents(const entry_beat_message&);
     void tellEntries(const entry_beat_message&);
     void forgetSilent();
+    void logGroups();
     void fillGroup(entry_beat_message&, const runner_id&, const pool_id&) const;
 
     boost::asio::io_context& m_context;
--- a/fleet/fleet_message.cpp
+++ b/fleet/fleet_message.cpp
@@ -18,7 +18,7 @@
             members.push_back(wire::Creategroup_memberDirect(builder, member.rank.value(), member.address.c_str()));
         const auto body = wire::Createentry_beatDirect(builder, message.daemon.value().c_str(), message.configuration.value(),
             message.runnerList.value(), message.isStopping, message.group.value().c_str(), &members,
-            message.placesPerRank, message.newPerRank, static_cast<std::uint64_t>(message.expertCopyTime.count()));
+            message.placesPerRank, message.newPerRank, static_cast<std::uint64_t>(message.expertCopyTime.count()), message.slots);
         finish(wire::datagram_body::entry_beat, body.Union());
     }
 
@@ -45,7 +45,7 @@
         const auto body = wire::Createrank_reportDirect(builder, message.group.value().c_str(), status.rank.value(), message.groupSize,
             status.epoch, status.step.value(), status.map.value(), status.prepared.value_or(map_version {}).value(), status.prepared.has_value(),
             status.armed.value_or(map_version {}).value(), status.armed.has_value(), status.held.value_or(step_number {}).value(),
-            status.held.has_value(), status.isOpen, status.pace, &counts, &experts, &message.choices);
+            status.held.has_value(), status.isOpen, status.pace, message.running, &counts, &experts, &message.choices);
         finish(wire::datagram_body::rank_report, body.Union());
     }
 
@@ -75,6 +75,7 @@
     message.placesPerRank = body.places_per_rank();
     message.newPerRank = body.new_per_rank();
     message.expertCopyTime = duration(body.expert_copy_us());
+    message.slots = body.slots();
     return message;
 }
 
@@ -113,6 +114,7 @@
     rank_message message;
     message.group = group_id(text(body.group()));
     message.groupSize = body.size();
+    message.running = body.running();
     rank_status& status = message.status;
     status.rank = rank_id(body.rank());
     status.epoch = body.epoch();
--- a/fleet/fleet_message.h
+++ b/fleet/fleet_message.h
@@ -34,6 +34,7 @@
     std::uint32_t placesPerRank = 0;
     std::uint32_t newPerRank = 0;
     duration expertCopyTime {};
+    std::uint32_t slots = 0;
 };
 
 // What an agent tells the entries. The runner is the one at the sender's machine.
@@ -48,6 +49,8 @@
     group_id group;
     std::uint32_t groupSize = 0;
     rank_status status;
+    // Requests that run on the rank.
+    std::uint32_t running = 0;
     // Choices of experts since the start of the runner, set by set. Empty when there is nothing new.
     std::vector<std::uint32_t> choices;
 };
--- a/fleet/group_coordinator.cpp
+++ b/fleet/group_coordinator.cpp
@@ -18,6 +18,9 @@
 // Reports come ten times a second.
 constexpr duration silence = std::chrono::milliseconds(350);
 
+// Part by which a plan has to shorten the passes of a group without work, beyond the gain that is always asked for.
+constexpr double gainAtRest = 0.15;
+
 const char* nameOf(map_switch::stage stage)
 {
     switch (stage) {
@@ -60,6 +63,7 @@
     : m_group(std::move(group))
     , m_log(log)
     , m_hooks(std::move(receivers))
+    , m_groupSize(groupSize)
     , m_switch(coordinator, groupSize)
 {
 }
@@ -68,10 +72,11 @@
 {
     rank_status status = message.status;
     status.at = now;
-    m_sets = static_cast<std::uint32_t>(status.experts.size());
-    if (m_sets > 0 && !message.choices.empty()) {
+    m_running[status.rank] = message.running;
+    const auto sets = static_cast<std::uint32_t>(status.experts.size());
+    if (sets > 0 && !message.choices.empty()) {
         if (!m_demand)
-            m_demand.emplace(m_sets, static_cast<std::uint32_t>(message.choices.size() / m_sets));
+            m_demand.emplace(sets, static_cast<std::uint32_t>(message.choices.size() / sets));
         m_demand->report(status.rank, message.choices, now);
     }
     m_switch.report(status);
@@ -87,16 +92,24 @@
     sendOrders();
 }
 
-void group_coordinator::advance(time_point now)
+void group_coordinator::advance(time_point now, bool isLeading)
 {
     const auto before = m_switch.now();
-    m_switch.advance(now);
-    if (m_switch.now() == map_switch::stage::Idle && now - m_plannedAt >= planInterval)
+    m_switch.advance(now, isLeading);
+    if (isLeading && m_switch.now() == map_switch::stage::Idle && now - m_plannedAt >= planInterval)
         planNext(now);
     logStage(before);
     sendOrders();
 }
 
+double group_coordinator::pressure() const
+{
+    double running = 0;
+    for (const auto& [rank, count] : m_running)
+        running += count;
+    return std::min(1.0, running / (static_cast<double>(m_groupSize) * m_limits.slots));
+}
+
 void group_coordinator::planNext(time_point now)
 {
     m_plannedAt = now;
@@ -113,6 +126,8 @@
     placement_planner::settings settings;
     settings.placesPerRank = m_limits.placesPerRank;
     settings.newPerRank = m_limits.newPerRank;
+    // Where few requests run, passes are short under any map, and copies and orders are not worth their cost.
+    settings.minimumGain += gainAtRest * (1 - pressure());
     const auto plan = placement_planner(settings).improve(*current, popularity, speeds);
     if (!plan)
         return;
@@ -124,11 +139,10 @@
 std::vector<rank_id> group_coordinator::silentRanks(time_point now) const
 {
     std::vector<rank_id> silent;
-    if (m_switch.now() == map_switch::stage::Idle)
-        return silent;
-    for (const auto& [rank, status] : m_switch.ranks()) {
-        if (now - status.at > silence)
-            silent.push_back(rank);
+    for (std::uint32_t rank = 0; rank < m_groupSize; ++rank) {
+        const auto known = m_switch.ranks().find(rank_id(rank));
+        if (known == m_switch.ranks().end() || now - known->second.at > silence)
+            silent.emplace_back(rank);
     }
     return silent;
 }
--- a/fleet/group_coordinator.h
+++ b/fleet/group_coordinator.h
@@ -26,6 +26,8 @@
         std::uint32_t placesPerRank = 0;
         std::uint32_t newPerRank = 0;
         duration expertCopyTime {};
+        // Requests that one rank runs at once.
+        std::uint32_t slots = 1;
     };
 
     struct hooks {
@@ -41,17 +43,18 @@
 
     void orderAnswered(const map_order&, map_order_result, time_point now);
 
-    // Goes on as time passes; call ten times a second.
-    void advance(time_point now);
+    // Goes on as time passes; call ten times a second. A deputy, which does not lead, only watches.
+    void advance(time_point now, bool isLeading);
 
     // Whether a switch is under way, which must not be left as it stands.
     bool isBusy() const { return m_switch.now() != map_switch::stage::Idle; }
 
-    // Ranks that have not reported for a while although the state of a switch depends on them.
+    // Ranks that have not reported for a while, so that their runners have to be asked.
     std::vector<rank_id> silentRanks(time_point now) const;
 
 private:
     void planNext(time_point now);
+    double pressure() const;
     void sendOrders();
     void logStage(map_switch::stage before);
 
@@ -59,9 +62,11 @@
     event_log& m_log;
     hooks m_hooks;
     limits m_limits;
+    std::uint32_t m_groupSize;
     map_switch m_switch;
     std::optional<expert_demand> m_demand;
-    std::uint32_t m_sets = 0;
+    // Requests that run on each rank.
+    std::map<rank_id, std::uint32_t> m_running;
     time_point m_plannedAt;
 };
 
--- a/fleet/request_relay.cpp
+++ b/fleet/request_relay.cpp
@@ -27,11 +27,13 @@
 constexpr std::size_t mostBacklog = 262144;
 constexpr std::chrono::milliseconds backlogCheck { 20 };
 
-// Time from a place to the first event of a stream under usual load.
-constexpr duration usualFirstEvent = std::chrono::milliseconds(200);
+// Part of the usual time to a first answer that is kept free for it when a request waits for a place.
+constexpr double firstAnswerMargin = 1.5;
 
-// Longest wait for a place. A caller that would wait longer is told to come back.
-constexpr duration longestWait = std::chrono::milliseconds(1500);
+// A caller with less than this part of the longest patience seen on its route has been turned away before.
+constexpr double returningPatience = 0.97;
+
+constexpr int firstServerError = 500;
 
 std::int64_t milliseconds(duration time)
 {
@@ -49,6 +51,8 @@
         return "wrong_runner";
     case attempt_failure::OutcomeUnknown:
         return "unknown";
+    case attempt_failure::ServerError:
+        return "server_error";
     }
     return "unknown";
 }
@@ -101,6 +105,7 @@
     if (m_route->timeLimit > duration {})
         m_deadline = std::min(m_deadline, m_arrivedAt + m_route->timeLimit);
     m_context.retriesOf(m_pool).requestArrived(m_arrivedAt);
+    m_isReturning = m_request.patience && *m_request.patience < m_context.longestPatience(m_route->name, *m_request.patience) * returningPatience;
     m_deadlineTimer.expires_after(m_deadline - m_arrivedAt);
     m_deadlineTimer.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
         if (!error)
@@ -140,9 +145,11 @@
     waiting.ticket = m_context.nextTicket();
     waiting.priority = m_holder && m_holder->priority ? *m_holder->priority : m_route->priority;
     waiting.arrivedAt = m_arrivedAt;
-    waiting.latestTimelyStart = m_arrivedAt + m_route->objective - (isStream(m_route->repeat) ? usualFirstEvent : m_route->objective / 2);
-    waiting.latestStart = std::min(m_arrivedAt + longestWait, m_deadline - m_route->objective / 2);
-    // Room that does not exist now may appear when a runner returns, within a moment.
+    waiting.isReturning = m_isReturning;
+    const duration firstAnswer = m_context.runners().usualFirstAnswer(m_pool);
+    waiting.latestTimelyStart = m_arrivedAt + m_route->objective - firstAnswer;
+    const time_point callerLeaves = isStream(m_route->repeat) ? m_arrivedAt + m_route->callerPatience : m_deadline;
+    waiting.latestStart = std::min(callerLeaves, m_deadline) - std::chrono::duration_cast<duration>(firstAnswer * firstAnswerMargin);
     if (!m_context.lineOf(m_pool).isWorthWaiting(waiting, now)) {
         waitEnded();
         return;
@@ -194,6 +201,7 @@
     m_head.reset();
     m_body.clear();
     m_isRelayingStream = false;
+    m_hasEvents = false;
     m_context.runners().started(runner);
     m_context.lineOf(m_pool).placed(now);
     m_context.log().write("attempt", { { "request", m_request.attemptId }, { "runner", runner.value() }, { "load", static_cast<std::int64_t>(record->estimatedLoad(now)) }, { "own", static_cast<std::int64_t>(record->inFlight) }, { "waited_ms", milliseconds(now - m_arrivedAt) }, { "number", static_cast<std::int64_t>(m_tried.size()) }, { "configuration", static_cast<std::int64_t>(m_routes->configuration().version.value()) } });
@@ -264,8 +272,11 @@
     if (events.empty())
         return;
     const time_point now = steadyNow();
-    if (m_events.eventCount() > 1)
+    if (!m_hasEvents)
+        m_context.runners().firstEvent(m_runner, now - m_sentAt);
+    else
         m_context.runners().eventGap(m_runner, now - m_lastEventAt, m_route->eventGapObjective, now);
+    m_hasEvents = true;
     m_lastEventAt = now;
     m_caller->sendPart(events);
     if (m_caller->unsentBytes() > mostBacklog) {
@@ -318,6 +329,11 @@
 
 void request_relay::answerComplete()
 {
+    const bool mayDoBetter = m_route->repeat == repeat_rule::Idempotent && m_head->status >= firstServerError;
+    if (mayDoBetter) {
+        attemptFailed(attempt_failure::ServerError, "the runner failed");
+        return;
+    }
     m_exchange.reset();
     const time_point now = steadyNow();
     m_context.runners().succeeded(m_runner, now - m_sentAt);
@@ -374,6 +390,10 @@
     case next_step::RefuseNotRun:
         refuse(why);
         return;
+    case next_step::PassOn:
+        m_caller->answer(m_head->status, m_head->passedFields, m_body);
+        finish("answered", m_head->status, why);
+        return;
     case next_step::FailUnknown:
         fail(502, "unknown", why);
         return;
--- a/fleet/request_relay.h
+++ b/fleet/request_relay.h
@@ -78,6 +78,7 @@
     boost::asio::steady_timer m_deadlineTimer;
     boost::asio::steady_timer m_silenceTimer;
     std::optional<std::uint64_t> m_ticket;
+    bool m_isReturning = false;
 
     // The attempt that runs now.
     std::shared_ptr<runner_exchange> m_exchange;
@@ -86,6 +87,8 @@
     std::optional<answer_head> m_head;
     std::string m_body;
     bool m_isRelayingStream = false;
+    // Whether an event has come from this attempt.
+    bool m_hasEvents = false;
     time_point m_lastEventAt;
 
     // All attempts together.
--- a/relay/http_call_client.cpp
+++ b/relay/http_call_client.cpp
@@ -94,6 +94,9 @@
     link->stream.expires_never();
     const receiver answered = std::exchange(link->answered, nullptr);
     if (error) {
+        // Resets the connection, so that a call that is still under way does not arrive after it was given up.
+        error_code ignored; // The socket may be closed already.
+        link->stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
         link->stream.close();
         answered(std::nullopt);
         return;
--- a/serving/attempt_failure.h
+++ b/serving/attempt_failure.h
@@ -10,6 +10,8 @@
     Rejected,
     // The request was sent and no valid answer came; it may have run.
     OutcomeUnknown,
+    // The runner ran the request and failed.
+    ServerError,
     // Another runner answers at the address and did not run the request.
     WrongRunner,
 };
@@ -17,7 +19,7 @@
 // Whether the request surely was not run by that attempt.
 constexpr bool wasNotRun(attempt_failure failure)
 {
-    return failure != attempt_failure::OutcomeUnknown;
+    return failure != attempt_failure::OutcomeUnknown && failure != attempt_failure::ServerError;
 }
 
 }
--- a/serving/next_attempt.cpp
+++ b/serving/next_attempt.cpp
@@ -29,6 +29,8 @@
         return next_step::TryAnother;
     if (facts.answerStarted)
         return next_step::BreakOff;
+    if (facts.failure == attempt_failure::ServerError)
+        return next_step::PassOn;
     return facts.mayHaveRun ? next_step::FailUnknown : next_step::RefuseNotRun;
 }
 
--- a/serving/next_attempt.h
+++ b/serving/next_attempt.h
@@ -16,6 +16,8 @@
     RefuseNotRun,
     // Tell the caller that the outcome is unknown.
     FailUnknown,
+    // Pass on the failure that the runner answered.
+    PassOn,
     // Break off the stream that the caller is receiving.
     BreakOff,
 };
--- a/serving/runner_directory.cpp
+++ b/serving/runner_directory.cpp
@@ -27,6 +27,15 @@
 constexpr double limitIncrease = 0.5;
 constexpr double lowestLimit = 3;
 
+// A gap between events at which a group counts as neither fast nor slow.
+constexpr double usualGapMs = 60;
+
+// Weight of a new gap; a group has some hundred a second.
+constexpr double gapSmoothing = 0.03;
+
+// Until a first answer has been seen.
+constexpr double assumedFirstAnswerMs = 200;
+
 double smoothed(double before, double value)
 {
     return before + smoothing * (value - before);
@@ -108,7 +117,9 @@
 {
     const double load = record.estimatedLoad(now);
     const double pace = record.load ? std::max(1.0, record.load->pace) : 1.0;
-    return (load + 1) * pace * (1 + failurePenalty * record.failureRate) * (1 + record.answerMs / 1000);
+    // All ranks of a group advance together, so a group with long passes is slow on each of its ranks.
+    const double gap = std::max(1.0, groupGapMs(record.group) / usualGapMs);
+    return (load + 1) * pace * gap * (1 + failurePenalty * record.failureRate) * (1 + record.answerMs / 1000);
 }
 
 std::optional<runner_id> runner_directory::choose(const pool_id& pool, const std::vector<runner_id>& excluded, time_point now)
@@ -180,8 +191,13 @@
         return;
     record->failureRate = smoothed(record->failureRate, 0);
     record->failuresInRow = 0;
+    const auto slots = m_slots.find(record->listing.pool);
+    const bool isStreamPool = slots != m_slots.end() && slots->second > 0;
+    if (isStreamPool)
+        return;
     const double ms = std::chrono::duration<double, std::milli>(timeToAnswer).count();
     record->answerMs = record->answerMs == 0 ? ms : smoothed(record->answerMs, ms);
+    firstEvent(id, timeToAnswer);
 }
 
 void runner_directory::failed(const runner_id& id, attempt_failure failure, time_point now)
@@ -198,6 +214,29 @@
     record->avoidUntil = now + std::min(firstAvoidance * (1 << doubling), longestAvoidance);
 }
 
+void runner_directory::firstEvent(const runner_id& id, duration sinceSent)
+{
+    const runner_record* record = find(id);
+    if (!record)
+        return;
+    const double ms = std::chrono::duration<double, std::milli>(sinceSent).count();
+    double& usual = m_firstAnswerMs[record->listing.pool];
+    usual = usual == 0 ? ms : smoothed(usual, ms);
+}
+
+duration runner_directory::usualFirstAnswer(const pool_id& pool) const
+{
+    const auto known = m_firstAnswerMs.find(pool);
+    const double ms = known == m_firstAnswerMs.end() ? assumedFirstAnswerMs : known->second;
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(ms));
+}
+
+double runner_directory::groupGapMs(const group_id& group) const
+{
+    const auto known = m_groups.find(group);
+    return known == m_groups.end() ? 0 : known->second.gapMs;
+}
+
 void runner_directory::eventGap(const runner_id& id, duration gap, duration objective, time_point now)
 {
     const runner_record* record = find(id);
@@ -218,15 +257,19 @@
         pace.gaps = 0;
         pace.lateGaps = 0;
     }
+    const double gapMs = std::chrono::duration<double, std::milli>(gap).count();
+    pace.gapMs = pace.gapMs == 0 ? gapMs : pace.gapMs + gapSmoothing * (gapMs - pace.gapMs);
     ++pace.gaps;
     if (gap > objective)
         ++pace.lateGaps;
 }
 
-double runner_directory::limitPerRank(const group_id& group) const
+std::vector<runner_directory::group_view> runner_directory::groups() const
 {
-    const auto found = m_groups.find(group);
-    return found == m_groups.end() ? 0 : found->second.limit;
+    std::vector<group_view> views;
+    for (const auto& [group, pace] : m_groups)
+        views.push_back({ group, pace.limit, pace.gapMs });
+    return views;
 }
 
 }
--- a/serving/runner_directory.h
+++ b/serving/runner_directory.h
@@ -48,14 +48,25 @@
     // Ends an attempt that says nothing about the runner, as when the caller left.
     void abandoned(const runner_id&);
 
+    // Notes the time from sending a request to the first event of its stream.
+    void firstEvent(const runner_id&, duration sinceSent);
+
+    // Usual time from sending a request to the first part of its answer, over the runners of the pool.
+    duration usualFirstAnswer(const pool_id&) const;
+
     // Notes the time between two events of a stream from the runner.
     void eventGap(const runner_id&, duration gap, duration objective, time_point now);
 
     const runner_record* find(const runner_id&) const;
     const std::unordered_map<runner_id, runner_record>& runners() const { return m_runners; }
 
-    // Room for work in the group of the runner, by rank. For logs and tests.
-    double limitPerRank(const group_id&) const;
+    // What was learned of the groups, for logs and tests.
+    struct group_view {
+        group_id group;
+        double limitPerRank = 0;
+        double gapMs = 0;
+    };
+    std::vector<group_view> groups() const;
 
 private:
     // Requests that each rank of a group may run so that the group's passes stay short enough for its streams.
@@ -64,10 +75,13 @@
         time_point windowStart;
         std::uint32_t gaps = 0;
         std::uint32_t lateGaps = 0;
+        // Usual gap, smoothed, in ms. 0 until one was seen.
+        double gapMs = 0;
     };
 
     std::uint32_t limitOf(const runner_record&) const;
     bool isUsable(const runner_record&, time_point now) const;
+    double groupGapMs(const group_id&) const;
     double score(const runner_record&, time_point now) const;
     runner_record* findRecord(const runner_id&);
 
@@ -76,6 +90,8 @@
     std::unordered_map<pool_id, std::vector<runner_id>> m_byPool;
     std::unordered_map<pool_id, std::uint32_t> m_slots;
     std::unordered_map<group_id, group_pace> m_groups;
+    // By pool, smoothed, in ms.
+    std::unordered_map<pool_id, double> m_firstAnswerMs;
 };
 
 }
--- a/serving/traffic_route.h
+++ b/serving/traffic_route.h
@@ -29,6 +29,8 @@
     duration objective {};
     // Longest pause between two events of a stream that is still on time. Zero if there is none.
     duration eventGapObjective {};
+    // Callers of a stream leave when nothing comes for this long, also before the first event.
+    duration callerPatience {};
     // 0 is the highest.
     std::int32_t priority = 0;
     // Runners to which one request may be sent.
--- a/serving/waiting_line.cpp
+++ b/serving/waiting_line.cpp
@@ -19,10 +19,12 @@
 {
     if (a.priority != b.priority)
         return a.priority < b.priority;
-    const bool aTimely = now <= a.latestTimelyStart;
-    const bool bTimely = now <= b.latestTimelyStart;
+    const bool aTimely = now <= a.latestTimelyStart && !a.isReturning;
+    const bool bTimely = now <= b.latestTimelyStart && !b.isReturning;
     if (aTimely != bTimely)
         return aTimely;
+    if (a.isReturning != b.isReturning)
+        return a.isReturning;
     return aTimely ? a.arrivedAt < b.arrivedAt : a.arrivedAt > b.arrivedAt;
 }
 
--- a/serving/waiting_request.h
+++ b/serving/waiting_request.h
@@ -15,6 +15,8 @@
     std::int32_t priority = 0;
     team_id team;
     time_point arrivedAt;
+    // Whether the caller was turned away before and has come back, so that this is its last chance.
+    bool isReturning = false;
     // A start after this time makes the answer late.
     time_point latestTimelyStart;
     // A start after this time is useless.
