Follow the demand for experts within a second

Cause: after each move of demand, the map stood behind it for 2 s: 0.5 s half-life of the counts, plans each 0.25 s, and a pass held four to seven ahead, which takes up to a second when passes are slow.

--- a/expert_map/map_switch.cpp
+++ b/expert_map/map_switch.cpp
@@ -10,11 +10,14 @@
 // A rank that has not reported for this long is not known well enough to start a switch.
 constexpr duration reportLifetime = std::chrono::milliseconds(600);
 
-// Passes between the newest one reported and the one that is held: hold, arm and release take less than two passes.
-constexpr std::uint64_t passesAhead = 4;
+// Passes between the newest one reported and the one that is held. A pass that waits for its release costs some ms, a hold
+// that comes too late only another try.
+constexpr std::uint64_t passesAhead = 2;
+constexpr std::uint32_t mostHoldTries = 4;
 
-// Coordinators on neighbouring ranks hold different passes, so that one cannot take another's hold for its own.
-constexpr std::uint64_t stepClasses = 4;
+// The coordinator and its deputy, on neighbouring ranks, hold different passes, so that neither takes the other's hold for
+// its own.
+constexpr std::uint64_t stepClasses = 2;
 
 // Orders that are carried out late take two seconds and more; answers in order take some ms.
 constexpr duration answerTime = std::chrono::milliseconds(300);
@@ -164,6 +167,8 @@
     m_highestUsed = m_version.value();
     m_placement = std::make_shared<expert_placement>(placement);
     m_copyTime = copyTime;
+    m_holdTries = 0;
+    m_step = {};
     enter(stage::Preparing, now);
     for (const auto& [rank, status] : m_ranks)
         order(map_order::kind::Prepare, rank, m_version, {}, m_placement);
@@ -172,7 +177,7 @@
 
 void map_switch::startHolding(time_point now)
 {
-    std::uint64_t step = highestStep() + passesAhead;
+    std::uint64_t step = std::max(highestStep(), m_step.value()) + passesAhead;
     while (step % stepClasses != m_coordinator.value() % stepClasses)
         ++step;
     m_step = step_number(step);
@@ -218,6 +223,8 @@
         const bool isTimely = now - m_stageSince <= answerTime;
         if (isAccepted && isTimely) {
             startArming(now);
+        } else if (result == map_order_result::Refused && isTimely && ++m_holdTries < mostHoldTries) {
+            startHolding(now);
         } else if (result == map_order_result::Refused) {
             abandon(shortPause, now);
         } else {
--- a/expert_map/map_switch.h
+++ b/expert_map/map_switch.h
@@ -99,6 +99,7 @@
     step_number m_step;
     std::shared_ptr<const expert_placement> m_placement;
     duration m_copyTime {};
+    std::uint32_t m_holdTries = 0;
     std::vector<rank_id> m_armed;
     std::map<rank_id, time_point> m_lastTry;
     // When the last order to each rank was answered; only later reports show what it did.
--- a/fleet/agent_process.cpp
+++ b/fleet/agent_process.cpp
@@ -29,7 +29,7 @@
 constexpr std::chrono::milliseconds reportInterval { 100 };
 
 // Every so many reports, the choices of experts are read too.
-constexpr std::uint32_t reportsPerChoices = 2;
+constexpr std::uint32_t reportsPerChoices = 1;
 
 // An entry or agent that has not been heard of for this long is taken as gone. Beats come twice a second.
 constexpr duration memberLifetime = std::chrono::milliseconds(1700);
--- a/fleet/group_coordinator.cpp
+++ b/fleet/group_coordinator.cpp
@@ -10,10 +10,10 @@
 namespace {
 
 // Demand is looked at this often.
-constexpr duration planInterval = std::chrono::milliseconds(250);
+constexpr duration planInterval = std::chrono::milliseconds(100);
 
 // Fewer recent choices of an expert than this, on the average, say little about the demand.
-constexpr double choicesPerExpert = 20;
+constexpr double choicesPerExpert = 10;
 
 // Reports come ten times a second.
 constexpr duration silence = std::chrono::milliseconds(350);
