Send unanswered map orders again, and let requests wait when places will come

Orders name their map or pass, so they are sent again within the same window; of two entries at an address the newer process counts; what a runner did not run is no attempt; and the rate of places that is possible decides whether waiting is worth it.

--- a/expert_map/map_switch.cpp
+++ b/expert_map/map_switch.cpp
@@ -15,19 +15,21 @@
 constexpr std::uint64_t passesAhead = 2;
 constexpr std::uint32_t mostHoldTries = 4;
 
-// The coordinator and its deputy, on neighbouring ranks, hold different passes, so that neither takes the other's hold for
+// Coordinators on neighbouring ranks hold different passes, so that none takes the hold of another for
 // its own.
-constexpr std::uint64_t stepClasses = 2;
+constexpr std::uint64_t stepClasses = 3;
 
-// Orders that are carried out late take two seconds and more; answers in order take some ms.
-constexpr duration answerTime = std::chrono::milliseconds(300);
-constexpr duration repeatAfter = std::chrono::milliseconds(250);
+// Time in which rank 0 must confirm its hold, and all ranks that they are armed. Orders that go unanswered are sent again
+// meanwhile: every order names its map or pass, so that a repetition changes nothing.
+constexpr duration holdTime = std::chrono::milliseconds(300);
+constexpr duration armTime = std::chrono::milliseconds(500);
+constexpr duration repeatAfter = std::chrono::milliseconds(120);
 
 // Time beyond the copying that ranks may need to report a map as prepared.
 constexpr duration prepareSlack = std::chrono::milliseconds(1500);
 
 // Longer than another coordinator needs from its hold to its release or to taking back its switch.
-constexpr duration foreignHoldTime = std::chrono::milliseconds(1000);
+constexpr duration foreignHoldTime = std::chrono::milliseconds(1300);
 
 constexpr duration shortPause = std::chrono::milliseconds(500);
 // After an order went unanswered: others will too, for some seconds.
@@ -54,7 +56,7 @@
         m_stage = stage::Idle;
         m_foreignSince.reset();
         m_orders.clear();
-        m_abandonedHold.reset();
+        m_holds.clear();
     }
     rank_status& known = m_ranks[status.rank];
     auto experts = known.map == status.map ? std::move(known.experts) : decltype(known.experts) {};
@@ -168,6 +170,7 @@
     m_placement = std::make_shared<expert_placement>(placement);
     m_copyTime = copyTime;
     m_holdTries = 0;
+    m_isRepeated = false;
     m_step = {};
     enter(stage::Preparing, now);
     for (const auto& [rank, status] : m_ranks)
@@ -181,6 +184,7 @@
     while (step % stepClasses != m_coordinator.value() % stepClasses)
         ++step;
     m_step = step_number(step);
+    m_holds.insert(m_step);
     enter(stage::Holding, now);
     order(map_order::kind::Hold, holder, {}, m_step);
 }
@@ -214,33 +218,40 @@
     if (sent.epoch != m_epoch)
         return;
     const bool isAccepted = result == map_order_result::Accepted;
-    const duration pause = result == map_order_result::Unanswered ? longPause : shortPause;
+    const bool isUnanswered = result == map_order_result::Unanswered;
     if (m_stage == stage::Preparing && sent.what == map_order::kind::Prepare && sent.version == m_version) {
-        if (!isAccepted)
-            abandon(pause, now);
+        // A rank that has prepared the map after a late order refuses the repetition.
+        if (isUnanswered)
+            m_orders.push_back(sent);
+        else if (!isAccepted && m_ranks[sent.rank].prepared != m_version && !m_isRepeated)
+            abandon(shortPause, now);
+        m_isRepeated = m_isRepeated || isUnanswered;
     } else if (m_stage == stage::Holding && sent.what == map_order::kind::Hold && sent.step == m_step) {
         // A coordinator that was stopped for a while may have been replaced.
-        const bool isTimely = now - m_stageSince <= answerTime;
+        const bool isTimely = now - m_stageSince <= holdTime;
         if (isAccepted && isTimely) {
             startArming(now);
         } else if (result == map_order_result::Refused && isTimely && ++m_holdTries < mostHoldTries) {
             startHolding(now);
         } else if (result == map_order_result::Refused) {
             abandon(shortPause, now);
+        } else if (isUnanswered && isTimely) {
+            m_orders.push_back(sent);
         } else {
-            m_abandonedHold = m_step;
             abandon(longPause, now);
         }
     } else if (m_stage == stage::Arming && sent.what == map_order::kind::Arm && sent.version == m_version) {
-        if (!isAccepted) {
-            startTakingBack(now);
+        const bool isTimely = now - m_stageSince <= armTime;
+        if (isUnanswered && isTimely) {
+            m_orders.push_back(sent);
             return;
         }
-        m_armed.push_back(sent.rank);
-        const bool isTimely = now - m_stageSince <= answerTime;
-        if (!isTimely)
+        if (!isAccepted || !isTimely) {
             startTakingBack(now);
-        else if (m_armed.size() == m_groupSize)
+            return;
+        }
+        m_armed.insert(sent.rank);
+        if (m_armed.size() == m_groupSize)
             startRelease(now);
     } else if (m_stage == stage::TakingBack) {
         m_lastAnswer[sent.rank] = now;
@@ -281,15 +292,13 @@
 
 void map_switch::advanceHolding(time_point now)
 {
-    if (now - m_stageSince <= answerTime * 2)
-        return;
-    m_abandonedHold = m_step;
-    abandon(longPause, now);
+    if (now - m_stageSince > holdTime * 2)
+        abandon(longPause, now);
 }
 
 void map_switch::advanceArming(time_point now)
 {
-    if (now - m_stageSince > answerTime)
+    if (now - m_stageSince > armTime)
         startTakingBack(now);
 }
 
@@ -348,7 +357,8 @@
 void map_switch::watchForeignHold(time_point now, bool isLeading)
 {
     const auto held = heldStep();
-    if (held && held == m_abandonedHold && isLeading) {
+    // A hold of this coordinator that was carried out after its switch ended: the ranks were armed all or not at all.
+    if (held && m_holds.contains(*held) && isLeading) {
         m_step = *held;
         startRelease(now);
         m_notBefore = now + longPause;
--- a/expert_map/map_switch.h
+++ b/expert_map/map_switch.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace sardinelb {
@@ -100,7 +101,9 @@
     std::shared_ptr<const expert_placement> m_placement;
     duration m_copyTime {};
     std::uint32_t m_holdTries = 0;
-    std::vector<rank_id> m_armed;
+    std::set<rank_id> m_armed;
+    // Whether an order to prepare went unanswered and was sent again.
+    bool m_isRepeated = false;
     std::map<rank_id, time_point> m_lastTry;
     // When the last order to each rank was answered; only later reports show what it did.
     std::map<rank_id, time_point> m_lastAnswer;
@@ -108,8 +111,8 @@
     // A hold or armed rank that no switch of this coordinator explains, and since when.
     std::optional<time_point> m_foreignSince;
     std::uint64_t m_highestUsed = 0;
-    // A hold of this coordinator that was not confirmed and for which no rank was armed. If it shows later, it is released.
-    std::optional<step_number> m_abandonedHold;
+    // Passes that this coordinator told rank 0 to hold.
+    std::set<step_number> m_holds;
 };
 
 }
--- a/fleet/entry_context.cpp
+++ b/fleet/entry_context.cpp
@@ -78,6 +78,11 @@
     return nullptr;
 }
 
+double entry_context::placesPerSecond(const pool_id& pool) const
+{
+    return m_runners.placesPerSecond(pool) / static_cast<double>(m_entriesAlive);
+}
+
 void entry_context::wait(const pool_id& pool, const waiting_request& request, std::weak_ptr<request_relay> relay)
 {
     lineOf(pool).add(request);
--- a/fleet/entry_context.h
+++ b/fleet/entry_context.h
@@ -47,6 +47,9 @@
     retry_share& retriesOf(const pool_id&);
     waiting_line& lineOf(const pool_id& pool) { return m_lines[pool]; }
 
+    // Rate at which places of the pool become free for this entry, if all entries get their part.
+    double placesPerSecond(const pool_id&) const;
+
     // Puts a request into the line of its pool; it is told by request_relay::placeFound() or waitEnded().
     void wait(const pool_id&, const waiting_request&, std::weak_ptr<request_relay>);
     void stopWaiting(const pool_id&, std::uint64_t ticket);
--- a/fleet/request_relay.cpp
+++ b/fleet/request_relay.cpp
@@ -150,7 +150,7 @@
     waiting.latestTimelyStart = m_arrivedAt + m_route->objective - firstAnswer;
     const time_point callerLeaves = isStream(m_route->repeat) ? m_arrivedAt + m_route->callerPatience : m_deadline;
     waiting.latestStart = std::min(callerLeaves, m_deadline) - std::chrono::duration_cast<duration>(firstAnswer * firstAnswerMargin);
-    if (!m_context.lineOf(m_pool).isWorthWaiting(waiting, now)) {
+    if (!m_context.lineOf(m_pool).isWorthWaiting(waiting, m_context.placesPerSecond(m_pool), now)) {
         waitEnded();
         return;
     }
@@ -177,6 +177,9 @@
     if (m_answerStarted) {
         m_caller->breakOff();
         finish("broken_off", 0, "no runner to continue the stream");
+    } else if (m_head && m_head->status >= firstServerError && m_head->isSigned) {
+        m_caller->answer(m_head->status, m_head->passedFields, m_body);
+        finish("answered", m_head->status, "no other runner has room");
     } else if (m_mayHaveRun) {
         fail(502, "unknown", "no other runner has room");
     } else {
@@ -363,8 +366,9 @@
 void request_relay::continueAfter(attempt_failure failure, const char* why)
 {
     const time_point now = steadyNow();
-    if (failure == attempt_failure::NotConnected) {
-        ++m_connectionsFailed;
+    // Only runs count as attempts: what a runner did not run may go to the next one.
+    if (wasNotRun(failure)) {
+        ++m_attemptsNotRun;
         --m_attemptsSent;
     }
     m_mayHaveRun = m_mayHaveRun || !wasNotRun(failure);
@@ -376,7 +380,7 @@
     facts.answerStarted = m_answerStarted;
     facts.attemptsSent = m_attemptsSent;
     facts.maxAttempts = m_route->maxAttempts;
-    facts.connectionsFailed = m_connectionsFailed;
+    facts.attemptsNotRun = m_attemptsNotRun;
     facts.retryAllowed = retries.covers(m_context.entriesAlive(), now);
     facts.timeLeft = timeLeft(now);
     const next_step next = decideNextStep(facts);
@@ -436,7 +440,7 @@
 
 void request_relay::refuse(const char* why)
 {
-    const duration wait = m_pool.value().empty() ? std::chrono::milliseconds(500) : m_context.lineOf(m_pool).expectedWait(steadyNow());
+    const duration wait = m_pool.value().empty() ? std::chrono::milliseconds(500) : m_context.lineOf(m_pool).expectedWait(m_context.placesPerSecond(m_pool), steadyNow());
     m_caller->answer(503, platform::ownAnswerFields(m_request.attemptId, wait), "");
     finish("not_run", 503, why);
 }
--- a/fleet/request_relay.h
+++ b/fleet/request_relay.h
@@ -94,7 +94,7 @@
     // All attempts together.
     std::vector<runner_id> m_tried;
     std::uint32_t m_attemptsSent = 0;
-    std::uint32_t m_connectionsFailed = 0;
+    std::uint32_t m_attemptsNotRun = 0;
     bool m_mayHaveRun = false;
     bool m_answerStarted = false;
     event_splitter m_events;
--- a/serving/next_attempt.cpp
+++ b/serving/next_attempt.cpp
@@ -7,8 +7,8 @@
 // Less time than this does not suffice for another runner to answer: connecting and one pass of an engine take longer.
 constexpr duration shortestUsefulAttempt = std::chrono::milliseconds(30);
 
-// Runners that refuse connections are skipped this often before the caller is told to come back.
-constexpr std::uint32_t maxFailedConnections = 4;
+// Runners that do not run the request are skipped this often before the caller is told to come back.
+constexpr std::uint32_t maxAttemptsNotRun = 4;
 
 bool canTryAnother(const failed_attempt_facts& facts)
 {
@@ -16,9 +16,10 @@
         return false;
     if (facts.mayHaveRun && !mayRunAgain(facts.repeat))
         return false;
-    if (facts.failure == attempt_failure::NotConnected)
-        return facts.connectionsFailed < maxFailedConnections && facts.attemptsSent < facts.maxAttempts;
-    return facts.attemptsSent < facts.maxAttempts && facts.retryAllowed;
+    if (facts.attemptsSent >= facts.maxAttempts || facts.attemptsNotRun >= maxAttemptsNotRun)
+        return false;
+    // A connection that failed is no arrival at a runner and costs nothing of the allowance.
+    return facts.failure == attempt_failure::NotConnected || facts.retryAllowed;
 }
 
 }
--- a/serving/next_attempt.h
+++ b/serving/next_attempt.h
@@ -30,11 +30,11 @@
     bool mayHaveRun = false;
     // Whether the caller has received the head of an answer.
     bool answerStarted = false;
-    // Attempts that runners received, and how many the route allows.
+    // Attempts that may have run, and how many the route allows.
     std::uint32_t attemptsSent = 0;
     std::uint32_t maxAttempts = 1;
-    // Connections that failed before anything was sent.
-    std::uint32_t connectionsFailed = 0;
+    // Attempts that surely did not run.
+    std::uint32_t attemptsNotRun = 0;
     // Whether the shared allowance covers one more attempt at a runner.
     bool retryAllowed = false;
     // Until the caller's deadline or the route's limit, whichever is first.
--- a/serving/runner_directory.cpp
+++ b/serving/runner_directory.cpp
@@ -36,6 +36,9 @@
 // Until a first answer has been seen.
 constexpr double assumedFirstAnswerMs = 200;
 
+// Until an answer has ended.
+constexpr double assumedServiceMs = 2000;
+
 double smoothed(double before, double value)
 {
     return before + smoothing * (value - before);
@@ -108,7 +111,7 @@
 
 bool runner_directory::isUsable(const runner_record& record, time_point now) const
 {
-    if (record.listing.isDraining || now < record.avoidUntil)
+    if (record.listing.isDraining || record.isReplaced || now < record.avoidUntil)
         return false;
     return !record.load || record.load->isGroupOpen || now - record.load->at > longestAvoidance;
 }
@@ -162,6 +165,23 @@
     return total;
 }
 
+double runner_directory::placesPerSecond(const pool_id& pool) const
+{
+    const auto members = m_byPool.find(pool);
+    const auto slots = m_slots.find(pool);
+    if (members == m_byPool.end() || slots == m_slots.end())
+        return 0;
+    const auto serviceMs = m_serviceMs.find(pool);
+    const double seconds = (serviceMs == m_serviceMs.end() ? assumedServiceMs : serviceMs->second) / 1000;
+    double places = 0;
+    for (const runner_id& id : members->second) {
+        const runner_record& record = m_runners.at(id);
+        if (!record.listing.isDraining && !record.isReplaced)
+            places += slots->second > 0 ? limitOf(record) : record.listing.slots;
+    }
+    return places / seconds;
+}
+
 bool runner_directory::hasUsable(const pool_id& pool, time_point now) const
 {
     const auto members = m_byPool.find(pool);
@@ -191,12 +211,14 @@
         return;
     record->failureRate = smoothed(record->failureRate, 0);
     record->failuresInRow = 0;
+    double& service = m_serviceMs[record->listing.pool];
+    const double wholeMs = std::chrono::duration<double, std::milli>(timeToAnswer).count();
+    service = service == 0 ? wholeMs : smoothed(service, wholeMs);
     const auto slots = m_slots.find(record->listing.pool);
     const bool isStreamPool = slots != m_slots.end() && slots->second > 0;
     if (isStreamPool)
         return;
-    const double ms = std::chrono::duration<double, std::milli>(timeToAnswer).count();
-    record->answerMs = record->answerMs == 0 ? ms : smoothed(record->answerMs, ms);
+    record->answerMs = record->answerMs == 0 ? wholeMs : smoothed(record->answerMs, wholeMs);
     firstEvent(id, timeToAnswer);
 }
 
@@ -206,7 +228,14 @@
     runner_record* record = findRecord(id);
     if (!record)
         return;
+    if (failure == attempt_failure::WrongRunner) {
+        // The runner is gone, and its address has another one; its listing will say so.
+        record->isReplaced = true;
+        return;
+    }
     record->failureRate = smoothed(record->failureRate, 1);
+    if (failure == attempt_failure::ServerError)
+        return;
     const auto doubling = std::min<std::uint32_t>(record->failuresInRow++, 4);
     // One lost answer does not show that a runner is down; a refused connection and a rejection do.
     if (failure == attempt_failure::OutcomeUnknown && doubling == 0)
--- a/serving/runner_directory.h
+++ b/serving/runner_directory.h
@@ -37,12 +37,16 @@
     // Number of further requests for which choose() would find room.
     std::uint32_t room(const pool_id&, time_point now) const;
 
+    // Rate at which places become free when all runners that are listed work at their limits. Counts runners that are
+    // avoided just now, since they may return within a moment.
+    double placesPerSecond(const pool_id&) const;
+
     // Whether the pool has a runner that may be given work at all.
     bool hasUsable(const pool_id&, time_point now) const;
 
     void started(const runner_id&);
 
-    // Ends an attempt that started() announced. `timeToAnswer` is from sending to the first part of the answer.
+    // Ends an attempt that started() announced. `timeToAnswer` is from sending to the end of the answer.
     void succeeded(const runner_id&, duration timeToAnswer);
     void failed(const runner_id&, attempt_failure, time_point now);
     // Ends an attempt that says nothing about the runner, as when the caller left.
@@ -92,6 +96,7 @@
     std::unordered_map<group_id, group_pace> m_groups;
     // By pool, smoothed, in ms.
     std::unordered_map<pool_id, double> m_firstAnswerMs;
+    std::unordered_map<pool_id, double> m_serviceMs;
 };
 
 }
--- a/serving/runner_listing.cpp
+++ b/serving/runner_listing.cpp
@@ -1,6 +1,7 @@
 #include "serving/runner_listing.h"
 
 #include <algorithm>
+#include <string>
 #include <unordered_set>
 
 namespace sardinelb {
@@ -71,10 +72,17 @@
         m_runners.erase(entry.first);
         return true;
     });
+    // After a crash, the entry of the former process stands beside that of the new one for some seconds.
+    std::unordered_map<std::string, const listed_runner*> newest;
+    for (const auto& [id, runner] : m_runners) {
+        const listed_runner*& at = newest[runner.address];
+        if (!at || runner.startedAtMs > at->startedAtMs)
+            at = &runner;
+    }
     std::vector<listed_runner> result;
-    result.reserve(m_runners.size());
-    for (const auto& [id, runner] : m_runners)
-        result.push_back(runner);
+    result.reserve(newest.size());
+    for (const auto& [address, runner] : newest)
+        result.push_back(*runner);
     std::sort(result.begin(), result.end(), [](const listed_runner& a, const listed_runner& b) { return a.id < b.id; });
     return result;
 }
--- a/serving/runner_record.h
+++ b/serving/runner_record.h
@@ -32,6 +32,8 @@
     // Usual time to the first part of an answer, smoothed, in ms. 0 until one has arrived.
     double answerMs = 0;
     std::uint32_t failuresInRow = 0;
+    // Whether another runner answers at the address.
+    bool isReplaced = false;
     // No work before this time, because attempts failed.
     time_point avoidUntil;
 
--- a/serving/waiting_line.cpp
+++ b/serving/waiting_line.cpp
@@ -30,25 +30,25 @@
 
 }
 
-double waiting_line::placesPerSecond(time_point now) const
+double waiting_line::placesPerSecond(double possible, time_point now) const
 {
     const auto recent = std::count_if(m_placed.begin(), m_placed.end(), [&](time_point at) { return at > now - paceWindow; });
-    return std::max(lowestPlacesPerSecond, static_cast<double>(recent));
+    return std::max({ lowestPlacesPerSecond, possible, static_cast<double>(recent) });
 }
 
-duration waiting_line::expectedWait(time_point now) const
+duration waiting_line::expectedWait(double possiblePlacesPerSecond, time_point now) const
 {
-    const double seconds = static_cast<double>(m_waiting.size() + 1) / placesPerSecond(now);
+    const double seconds = static_cast<double>(m_waiting.size() + 1) / placesPerSecond(possiblePlacesPerSecond, now);
     const auto wait = std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
     return std::clamp(wait, shortestRetry, longestRetry);
 }
 
-bool waiting_line::isWorthWaiting(const waiting_request& request, time_point now) const
+bool waiting_line::isWorthWaiting(const waiting_request& request, double possiblePlacesPerSecond, time_point now) const
 {
     const auto ahead = std::count_if(m_waiting.begin(), m_waiting.end(), [&](const waiting_request& other) {
         return goesBefore(other, request, now);
     });
-    const double seconds = static_cast<double>(ahead + 1) / placesPerSecond(now);
+    const double seconds = static_cast<double>(ahead + 1) / placesPerSecond(possiblePlacesPerSecond, now);
     const auto wait = std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
     return now + wait <= request.latestStart;
 }
