Prove the switch of expert maps under every fault and pair of faults

A coordinator that stood still now forgets its switch, versions differ by coordinator, and taking back ends when a newer switch shows.

--- a/expert_map/map_switch.cpp
+++ b/expert_map/map_switch.cpp
@@ -15,9 +15,9 @@
 constexpr std::uint64_t passesAhead = 2;
 constexpr std::uint32_t mostHoldTries = 4;
 
-// Coordinators on neighbouring ranks hold different passes, so that none takes the hold of another for
-// its own.
-constexpr std::uint64_t stepClasses = 3;
+// Coordinators on neighbouring ranks use different versions and hold different passes, so that none takes what another one
+// did for its own.
+constexpr std::uint64_t coordinatorClasses = 3;
 
 // Time in which rank 0 must confirm its hold, and all ranks that they are armed. Orders that go unanswered are sent again
 // meanwhile: every order names its map or pass, so that a repetition changes nothing.
@@ -25,6 +25,9 @@
 constexpr duration armTime = std::chrono::milliseconds(500);
 constexpr duration repeatAfter = std::chrono::milliseconds(120);
 
+// advance() is called ten times a second; after a longer pause the process was stopped.
+constexpr duration longestRest = std::chrono::milliseconds(400);
+
 // Time beyond the copying that ranks may need to report a map as prepared.
 constexpr duration prepareSlack = std::chrono::milliseconds(1500);
 
@@ -86,6 +89,15 @@
     return highest;
 }
 
+map_version map_switch::nextVersion()
+{
+    std::uint64_t version = highestVersion() + 1;
+    while (version % coordinatorClasses != m_coordinator.value() % coordinatorClasses)
+        ++version;
+    m_highestUsed = version;
+    return map_version(version);
+}
+
 std::uint64_t map_switch::highestStep() const
 {
     std::uint64_t highest = 0;
@@ -165,8 +177,7 @@
         if (status.armed || status.held)
             return false;
     }
-    m_version = map_version(highestVersion() + 1);
-    m_highestUsed = m_version.value();
+    m_version = nextVersion();
     m_placement = std::make_shared<expert_placement>(placement);
     m_copyTime = copyTime;
     m_holdTries = 0;
@@ -181,7 +192,7 @@
 void map_switch::startHolding(time_point now)
 {
     std::uint64_t step = std::max(highestStep(), m_step.value()) + passesAhead;
-    while (step % stepClasses != m_coordinator.value() % stepClasses)
+    while (step % coordinatorClasses != m_coordinator.value() % coordinatorClasses)
         ++step;
     m_step = step_number(step);
     m_holds.insert(m_step);
@@ -206,15 +217,28 @@
 
 void map_switch::startTakingBack(time_point now)
 {
-    m_voidVersion = map_version(highestVersion() + 1);
-    m_highestUsed = m_voidVersion.value();
+    m_voidVersion = nextVersion();
     m_placement = placementInUse();
     enter(stage::TakingBack, now);
     advanceTakingBack(now);
 }
 
+void map_switch::forgetIfStopped(time_point now)
+{
+    const bool wasStopped = now - m_lastRun > longestRest;
+    m_lastRun = now;
+    if (!wasStopped)
+        return;
+    // Another coordinator may have acted meanwhile. What stands now is watched like a switch of its own.
+    m_holds.clear();
+    m_orders.clear();
+    m_foreignSince.reset();
+    abandon(shortPause, now);
+}
+
 void map_switch::orderAnswered(const map_order& sent, map_order_result result, time_point now)
 {
+    forgetIfStopped(now);
     if (sent.epoch != m_epoch)
         return;
     const bool isAccepted = result == map_order_result::Accepted;
@@ -260,6 +284,7 @@
 
 void map_switch::advance(time_point now, bool isLeading)
 {
+    forgetIfStopped(now);
     switch (m_stage) {
     case stage::Idle:
         watchForeignHold(now, isLeading);
@@ -334,6 +359,14 @@
 void map_switch::advanceTakingBack(time_point now)
 {
     bool isVoid = true;
+    const bool isOvertaken = std::any_of(m_ranks.begin(), m_ranks.end(), [&](const auto& entry) {
+        return entry.second.armed > m_voidVersion;
+    });
+    if (isOvertaken) {
+        // Another coordinator has taken the switch back before and has begun a new one.
+        abandon(longPause, now);
+        return;
+    }
     for (const auto& [rank, status] : m_ranks) {
         // Reports of before this stage do not show what late orders did.
         const bool isFresh = status.at > m_stageSince;
--- a/expert_map/map_switch.h
+++ b/expert_map/map_switch.h
@@ -49,8 +49,8 @@
 
     void orderAnswered(const map_order&, map_order_result, time_point now);
 
-    // Goes on as time passes. Call several times a second. A coordinator that does not lead only watches, so that it knows
-    // how long a hold has stood when it takes over.
+    // Goes on as time passes. Call ten times a second. A coordinator that does not lead ends its own switch and otherwise only
+    // watches, so that it knows how long a hold has stood when it takes over.
     void advance(time_point now, bool isLeading);
 
     // Orders to send now, in this order.
@@ -66,6 +66,7 @@
     const std::map<rank_id, rank_status>& ranks() const { return m_ranks; }
 
 private:
+    void forgetIfStopped(time_point now);
     void enter(stage, time_point now);
     void abandon(duration pause, time_point now);
     void order(map_order::kind, rank_id, map_version, step_number, std::shared_ptr<const expert_placement> placement = nullptr);
@@ -83,6 +84,7 @@
     bool allPrepared(map_version) const;
     bool allArmed(map_version) const;
     std::uint64_t highestVersion() const;
+    map_version nextVersion();
     std::uint64_t highestStep() const;
     std::optional<step_number> heldStep() const;
     std::shared_ptr<const expert_placement> placementInUse() const;
@@ -94,6 +96,8 @@
     stage m_stage = stage::Idle;
     time_point m_stageSince;
     time_point m_notBefore;
+    // When this coordinator last did anything.
+    time_point m_lastRun;
     map_version m_version;
     // Version that makes late orders for m_version void.
     map_version m_voidVersion;
--- a/fleet/agent_process.cpp
+++ b/fleet/agent_process.cpp
@@ -303,7 +303,7 @@
         coordinator.reset();
     if (isCandidate && !coordinator)
         startCoordinator();
-    const bool leads = coordinator && (shouldLead(now) || isBusy);
+    const bool leads = coordinator && shouldLead(now);
     if (leads != isLeading)
         log.write(leads ? "lead_began" : "lead_ended", { { "group", own->group.value() }, { "rank", static_cast<std::int64_t>(own->status.rank.value()) } });
     isLeading = leads;
@@ -311,7 +311,7 @@
         return;
     coordinator->setLimits(limits);
     coordinator->advance(now, isLeading);
-    if (isLeading)
+    if (isLeading || coordinator->isBusy())
         readSilentRanks();
 }
 
--- /dev/null
+++ b/tests/fleet/map_switch_fault_test.cpp
@@ -0,0 +1,321 @@
+#include "expert_map/map_switch.h"
+#include "tests/fleet/fake_rank_group.h"
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+namespace sardinelb::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::uint32_t groupSize = 4;
+constexpr milliseconds passTime { 70 };
+constexpr milliseconds reportInterval { 100 };
+constexpr milliseconds orderDelay { 2 };
+constexpr milliseconds orderTimeout { 100 };
+constexpr milliseconds leaderSilence { 500 };
+
+// The third coordinator learns only from the entries that both before it are gone.
+constexpr milliseconds thirdSilence { 3000 };
+constexpr std::uint32_t coordinatorCount = 3;
+
+// Longest time that a group may be kept from its next pass by any of the faults. Orders that are carried out late come up
+// to 12 s later, and the coordinator may be frozen meanwhile.
+constexpr milliseconds recoveryTime { 9000 };
+
+enum class order_fault {
+    None,
+    // Not carried out, and no answer.
+    Lost,
+    // Carried out, and no answer.
+    AnswerLost,
+    // Carried out some seconds later, and no answer.
+    Late,
+};
+
+enum class coordinator_fault {
+    None,
+    // Stands still for three seconds after the order was sent.
+    Frozen,
+    // Ends after the order was sent.
+    Killed,
+};
+
+// What befalls the order with this number, counted over both coordinators.
+struct fault {
+    std::size_t order = 0;
+    order_fault onOrder = order_fault::None;
+    coordinator_fault onCoordinator = coordinator_fault::None;
+    milliseconds lateness { 2500 };
+};
+
+// Three coordinators before one group, in virtual time. Each leads while it hears of none before it.
+class map_switch_world {
+public:
+    explicit map_switch_world(std::vector<fault> faults)
+        : m_group(groupSize)
+        , m_faults(std::move(faults))
+    {
+        for (std::uint32_t i = 0; i < coordinatorCount; ++i)
+            m_coordinators.push_back({ std::make_unique<map_switch>(rank_id(i), groupSize), {}, false, {} });
+        at(milliseconds(1), [this] { pass(); });
+        at(milliseconds(2), [this] { tick(); });
+    }
+
+    void run(milliseconds until)
+    {
+        while (!m_events.empty() && m_events.begin()->first <= time_point(until)) {
+            auto first = m_events.begin();
+            m_now = first->first;
+            const auto action = std::move(first->second);
+            m_events.erase(first);
+            action();
+            longestHold = std::max(longestHold, m_now - m_group.lastPass());
+        }
+    }
+
+    // From `begin` on, the coordinators do not hear of each other for a while, but reach the ranks.
+    void cut(duration begin, duration length)
+    {
+        at(begin, [this, length] { m_unheardUntil = m_now + length; });
+    }
+
+    bool isSplit = false;
+    duration longestHold {};
+    std::size_t ordersSent = 0;
+    std::uint64_t mapInUse() const { return m_group.mapInUse(); }
+    duration sinceLastPass() const { return m_now - m_group.lastPass(); }
+
+private:
+    struct coordinator {
+        std::unique_ptr<map_switch> logic;
+        time_point frozenUntil;
+        bool isDead = false;
+        // Work that arrived while it stood still.
+        std::vector<std::function<void()>> pending;
+    };
+
+    void at(duration delay, std::function<void()> action)
+    {
+        m_events.emplace(m_now + delay, std::move(action));
+    }
+
+    bool isAwake(const coordinator& one) const { return !one.isDead && m_now >= one.frozenUntil; }
+
+    void pass()
+    {
+        isSplit = isSplit || !m_group.beginPass(m_now);
+        at(passTime, [this] { pass(); });
+    }
+
+    void tick()
+    {
+        for (std::size_t i = 0; i < m_coordinators.size(); ++i) {
+            if (isAwake(m_coordinators[i]) && m_now >= m_unheardUntil)
+                m_heardAt[i] = m_now;
+        }
+        for (std::size_t i = 0; i < m_coordinators.size(); ++i)
+            run(i, [this, i] { advance(i); });
+        at(reportInterval, [this] { tick(); });
+    }
+
+    // A coordinator that stands still does the work when it wakes.
+    void run(std::size_t number, std::function<void()> work)
+    {
+        coordinator& one = m_coordinators[number];
+        if (one.isDead)
+            return;
+        if (isAwake(one)) {
+            work();
+            return;
+        }
+        one.pending.push_back(std::move(work));
+    }
+
+    bool isFirstHeard(std::size_t number) const
+    {
+        for (std::size_t i = 0; i < number; ++i) {
+            if (m_now - m_heardAt[i] <= (number == 1 ? leaderSilence : thirdSilence))
+                return false;
+        }
+        return true;
+    }
+
+    void advance(std::size_t number)
+    {
+        map_switch& logic = *m_coordinators[number].logic;
+        for (std::uint32_t i = 0; i < groupSize; ++i) {
+            rank_status status = m_group.status(rank_id(i), m_now);
+            status.at = m_now;
+            logic.report(status);
+        }
+        const bool isLeading = isFirstHeard(number);
+        logic.advance(m_now, isLeading);
+        if (isLeading && logic.currentPlacement(m_now))
+            logic.begin({ { { { 0 }, { 1 }, { 2 }, { 3 } } } }, milliseconds(300), m_now);
+        sendOrders(number);
+    }
+
+    void sendOrders(std::size_t number)
+    {
+        for (const map_order& order : m_coordinators[number].logic->takeOrders())
+            send(number, order);
+    }
+
+    void send(std::size_t number, const map_order& order)
+    {
+        const fault what = faultOf(ordersSent++);
+        const auto apply = [this, order] { return m_group.apply(order, m_now); };
+        if (what.onOrder == order_fault::None)
+            at(orderDelay, [this, number, order, apply] { answer(number, order, apply()); });
+        else if (what.onOrder == order_fault::AnswerLost)
+            at(orderDelay, [apply] { apply(); });
+        else if (what.onOrder == order_fault::Late)
+            at(what.lateness, [apply] { apply(); });
+        if (what.onOrder != order_fault::None)
+            at(orderTimeout, [this, number, order] { answer(number, order, map_order_result::Unanswered); });
+        strike(number, what.onCoordinator);
+    }
+
+    void strike(std::size_t number, coordinator_fault what)
+    {
+        coordinator& one = m_coordinators[number];
+        if (what == coordinator_fault::Killed)
+            one.isDead = true;
+        if (what != coordinator_fault::Frozen)
+            return;
+        one.frozenUntil = m_now + milliseconds(3000);
+        at(milliseconds(3000), [this, number] { wake(number); });
+    }
+
+    void wake(std::size_t number)
+    {
+        auto pending = std::exchange(m_coordinators[number].pending, {});
+        for (const auto& work : pending)
+            run(number, work);
+    }
+
+    void answer(std::size_t number, const map_order& order, map_order_result result)
+    {
+        run(number, [this, number, order, result] {
+            m_coordinators[number].logic->orderAnswered(order, result, m_now);
+            sendOrders(number);
+        });
+    }
+
+    fault faultOf(std::size_t order) const
+    {
+        for (const fault& what : m_faults) {
+            if (what.order == order)
+                return what;
+        }
+        return {};
+    }
+
+    fake_rank_group m_group;
+    std::vector<fault> m_faults;
+    std::vector<coordinator> m_coordinators;
+    std::multimap<time_point, std::function<void()>> m_events;
+    time_point m_now;
+    std::array<time_point, coordinatorCount> m_heardAt {};
+    time_point m_unheardUntil;
+};
+
+// Orders of the first two switches: 4 to prepare, 1 to hold, 4 to arm and 1 to release each.
+constexpr std::size_t ordersOfTwoSwitches = 20;
+
+std::vector<fault> allFaultsAt(std::size_t order)
+{
+    std::vector<fault> faults;
+    for (const auto onOrder : { order_fault::None, order_fault::Lost, order_fault::AnswerLost, order_fault::Late }) {
+        for (const auto onCoordinator : { coordinator_fault::None, coordinator_fault::Frozen, coordinator_fault::Killed })
+            faults.push_back({ order, onOrder, onCoordinator, milliseconds(2500) });
+    }
+    return faults;
+}
+
+std::string describe(const std::vector<fault>& faults)
+{
+    std::string text;
+    for (const fault& one : faults)
+        text += " order " + std::to_string(one.order) + " fault " + std::to_string(static_cast<int>(one.onOrder)) + " coordinator " + std::to_string(static_cast<int>(one.onCoordinator));
+    return text;
+}
+
+void expectSafe(const std::vector<fault>& faults)
+{
+    map_switch_world world(faults);
+    world.run(milliseconds(20000));
+    EXPECT_FALSE(world.isSplit) << describe(faults);
+    EXPECT_LE(world.longestHold, recoveryTime) << describe(faults);
+    EXPECT_LE(world.sinceLastPass(), milliseconds(1000)) << describe(faults);
+    EXPECT_GT(world.mapInUse(), 0U) << describe(faults);
+}
+
+}
+
+class map_switch_fault : public testing::Test { };
+
+TEST_F(map_switch_fault, switchWithoutFaults_manySwitches_noPassWaits)
+{
+    map_switch_world world({});
+    world.run(milliseconds(20000));
+    EXPECT_FALSE(world.isSplit);
+    EXPECT_GT(world.mapInUse(), 10U);
+    EXPECT_LE(world.longestHold, passTime + passTime);
+}
+
+// Guards against a lost, unanswered or late order, or a coordinator that stops, at any point of a switch.
+TEST_F(map_switch_fault, switchWithOneFault_everyFaultAtEveryOrder_ranksAgree)
+{
+    for (std::size_t order = 0; order < ordersOfTwoSwitches; ++order) {
+        for (const fault& one : allFaultsAt(order))
+            expectSafe({ one });
+    }
+}
+
+// Guards against two faults that each alone are recovered from, such as a late order while the deputy takes over.
+TEST_F(map_switch_fault, switchWithTwoFaults_everyPairOfFaults_ranksAgree)
+{
+    for (std::size_t first = 0; first < ordersOfTwoSwitches / 2; ++first) {
+        for (std::size_t second = first + 1; second < ordersOfTwoSwitches; ++second) {
+            for (const fault& a : allFaultsAt(first)) {
+                for (const fault& b : allFaultsAt(second))
+                    expectSafe({ a, b });
+            }
+        }
+    }
+}
+
+// Guards against long disturbances in which many orders are carried out late, with the coordinator stopped in between.
+TEST_F(map_switch_fault, switchUnderManyLateOrders_randomHistories_ranksAgree)
+{
+    for (std::uint32_t seed = 1; seed <= 2000; ++seed) {
+        std::mt19937 random(seed);
+        std::vector<fault> faults;
+        for (std::size_t order = 0; order < 120; ++order) {
+            if (random() % 100 >= 35)
+                continue;
+            fault one { order, static_cast<order_fault>(1 + random() % 3), coordinator_fault::None, milliseconds(2000 + random() % 10000) };
+            if (random() % 20 == 0)
+                one.onCoordinator = coordinator_fault::Frozen;
+            faults.push_back(one);
+        }
+        map_switch_world world(faults);
+        if (seed % 3 == 0)
+            world.cut(milliseconds(random() % 8000), milliseconds(1000 + random() % 6000));
+        world.run(milliseconds(40000));
+        ASSERT_FALSE(world.isSplit) << "seed " << seed;
+        EXPECT_LE(world.sinceLastPass(), milliseconds(1000)) << "seed " << seed;
+    }
+}
+
+}
