Hold the next pass but one reported

A hold that comes too late is refused and tried again for 3 ms, while each pass ahead costs 70 to 150 ms of an old map.

--- a/expert_map/map_switch.cpp
+++ b/expert_map/map_switch.cpp
@@ -12,7 +12,7 @@
 
 // Passes between the newest one reported and the one that is held. A pass that waits for its release costs some ms, a hold
 // that comes too late only another try.
-constexpr std::uint64_t passesAhead = 2;
+constexpr std::uint64_t passesAhead = 1;
 constexpr std::uint32_t mostHoldTries = 4;
 
 // Coordinators on neighbouring ranks use different versions and hold different passes, so that none takes what another one
