Carry large groups: orders wait as long as the link takes, plans without allocations, counts as differences

The time limit of an order now follows from what is on its way, a plan costs a few ms, and each entry compares its part of the runners. Counts go as differences, to the coordinator alone.

--- a/expert_map/expert_demand.cpp
+++ b/expert_map/expert_demand.cpp
@@ -36,24 +36,16 @@
     m_recentTotal *= recent;
 }
 
-void expert_demand::report(rank_id rank, const std::vector<std::uint32_t>& counts, time_point now)
+void expert_demand::report(const std::vector<std::uint16_t>& choices, time_point now)
 {
-    if (counts.size() != m_recent.size())
+    if (choices.size() != m_recent.size())
         return;
     decay(now);
-    std::vector<std::uint32_t>& last = m_last[rank];
-    bool isContinued = last.size() == counts.size();
-    for (std::size_t i = 0; isContinued && i < counts.size(); ++i)
-        isContinued = counts[i] >= last[i];
-    if (isContinued) {
-        for (std::size_t i = 0; i < counts.size(); ++i) {
-            const double chosen = counts[i] - last[i];
-            m_recent[i] += chosen;
-            m_settled[i] += chosen;
-            m_recentTotal += chosen;
-        }
+    for (std::size_t i = 0; i < choices.size(); ++i) {
+        m_recent[i] += choices[i];
+        m_settled[i] += choices[i];
+        m_recentTotal += choices[i];
     }
-    last = counts;
 }
 
 std::vector<std::vector<double>> expert_demand::popularity() const
--- a/expert_map/set_placement.cpp
+++ b/expert_map/set_placement.cpp
@@ -40,6 +40,12 @@
         for (const std::size_t rank : m_holders[expert])
             m_loads[rank] += partOf(expert, m_holders[expert].size());
     }
+    m_moved.resize(m_loads.size());
+    m_steep.resize(m_loads.size());
+    for (std::size_t rank = 0; rank < m_loads.size(); ++rank) {
+        m_steep[rank] = steepTime(rank, m_loads[rank]);
+        m_steepSum += m_steep[rank];
+    }
 }
 
 bool set_placement::holds(std::size_t rank, std::size_t expert) const
@@ -47,18 +53,15 @@
     return std::binary_search(m_byRank[rank].begin(), m_byRank[rank].end(), static_cast<expert_number>(expert));
 }
 
-double set_placement::costWith(const std::vector<double>& loads) const
+double set_placement::steepTime(std::size_t rank, double load) const
 {
     // With perfect balance each rank carries its part of the total speed.
-    double sum = 0;
-    for (std::size_t rank = 0; rank < loads.size(); ++rank)
-        sum += steep(loads[rank] / m_speeds[rank] * m_totalSpeed);
-    return root(sum / static_cast<double>(loads.size()));
+    return steep(load / m_speeds[rank] * m_totalSpeed);
 }
 
 double set_placement::cost() const
 {
-    return costWith(m_loads);
+    return root(m_steepSum / static_cast<double>(m_loads.size()));
 }
 
 double set_placement::balance() const
@@ -79,31 +82,43 @@
     return most;
 }
 
-void set_placement::moveLoad(std::vector<double>& loads, const change& what) const
+void set_placement::touch(std::size_t rank, double load) const
 {
+    if (m_moved[rank] == 0)
+        m_touched.push_back(rank);
+    m_moved[rank] += load;
+}
+
+void set_placement::collectMoves(const change& what) const
+{
+    for (const std::size_t rank : m_touched)
+        m_moved[rank] = 0;
+    m_touched.clear();
     if (what.added != change::none) {
         const auto& holders = m_holders[what.added];
-        const double before = partOf(what.added, holders.size());
         const double after = partOf(what.added, holders.size() + 1);
+        const double relief = after - partOf(what.added, holders.size());
         for (const std::size_t rank : holders)
-            loads[rank] += after - before;
-        loads[what.rank] += after;
+            touch(rank, relief);
+        touch(what.rank, after);
     }
     if (what.dropped != change::none) {
         const auto& holders = m_holders[what.dropped];
-        const double before = partOf(what.dropped, holders.size());
         const double after = partOf(what.dropped, holders.size() - 1);
+        const double extra = after - partOf(what.dropped, holders.size());
         for (const std::size_t rank : holders)
-            loads[rank] += after - before;
-        loads[what.rank] -= after;
+            touch(rank, extra);
+        touch(what.rank, -after);
     }
 }
 
 double set_placement::costAfter(const change& what) const
 {
-    std::vector<double> loads = m_loads;
-    moveLoad(loads, what);
-    return costWith(loads);
+    collectMoves(what);
+    double sum = m_steepSum;
+    for (const std::size_t rank : m_touched)
+        sum += steepTime(rank, m_loads[rank] + m_moved[rank]) - m_steep[rank];
+    return root(std::max(0.0, sum) / static_cast<double>(m_loads.size()));
 }
 
 set_placement::change set_placement::best(std::uint32_t placesPerRank, const std::vector<bool>& mayCopyTo) const
@@ -137,7 +152,13 @@
 
 void set_placement::apply(const change& what)
 {
-    moveLoad(m_loads, what);
+    collectMoves(what);
+    for (const std::size_t rank : m_touched) {
+        m_loads[rank] += m_moved[rank];
+        m_steepSum -= m_steep[rank];
+        m_steep[rank] = steepTime(rank, m_loads[rank]);
+        m_steepSum += m_steep[rank];
+    }
     auto& held = m_byRank[what.rank];
     if (what.dropped != change::none) {
         std::erase(held, static_cast<expert_number>(what.dropped));
--- a/expert_map/set_placement.h
+++ b/expert_map/set_placement.h
@@ -42,9 +42,10 @@
     bool holds(std::size_t rank, std::size_t expert) const;
     std::size_t busiest() const;
     double partOf(std::size_t expert, std::size_t copies) const { return m_popularity[expert] / static_cast<double>(copies); }
-    double costWith(const std::vector<double>& loads) const;
+    double steepTime(std::size_t rank, double load) const;
     double costAfter(const change&) const;
-    void moveLoad(std::vector<double>& loads, const change&) const;
+    void touch(std::size_t rank, double load) const;
+    void collectMoves(const change&) const;
 
     std::vector<std::vector<expert_number>> m_byRank;
     std::vector<double> m_popularity;
@@ -53,6 +54,13 @@
     std::vector<std::vector<std::size_t>> m_holders;
     std::vector<double> m_loads;
     double m_totalSpeed = 0;
+    // Steep time of each rank, and the sum of them.
+    std::vector<double> m_steep;
+    double m_steepSum = 0;
+    // Load that a change moves, by rank, and the ranks that it touches. Kept to spare allocations: a plan tries thousands of
+    // changes on a small part of a core.
+    mutable std::vector<double> m_moved;
+    mutable std::vector<std::size_t> m_touched;
 };
 
 }
--- a/fleet/agent_process.cpp
+++ b/fleet/agent_process.cpp
@@ -29,7 +29,10 @@
 constexpr std::chrono::milliseconds reportInterval { 100 };
 
 // Every so many reports, the choices of experts are read too.
-constexpr std::uint32_t reportsPerChoices = 1;
+constexpr std::uint32_t reportsPerChoices = 2;
+
+// Every so many reports, entries are told of each other.
+constexpr std::uint32_t reportsPerEntryList = 10;
 
 // An entry or agent that has not been heard of for this long is taken as gone. Beats come twice a second.
 constexpr duration memberLifetime = std::chrono::milliseconds(1700);
@@ -57,7 +60,7 @@
         : context(io)
         , options(std::move(values))
         , log(events)
-        , runner(io.get_executor())
+        , runner(io.get_executor(), options.linkMegabitsPerSecond)
         , timer(io)
     {
     }
@@ -78,7 +81,7 @@
     // The own rank, as last reported by the runner.
     std::optional<rank_message> own;
     std::optional<platform::held_experts> held;
-    std::uint64_t choicesEpoch = 0;
+    platform::expert_choices lastChoices;
     std::uint32_t reportCount = 0;
     std::unique_ptr<group_coordinator> coordinator;
     // When the agent of each rank was last heard of, by its own reports.
@@ -93,6 +96,7 @@
     void reportArrived(std::optional<platform::runner_report>);
     void readExperts(const rank_status&);
     void readChoices();
+    void noteChoices(platform::expert_choices&&);
     void tellEntries(const platform::runner_report&);
     void tellCoordinator();
     std::vector<rank_id> lowestMembers() const;
@@ -222,16 +226,30 @@
 {
     runner.readChoices(options.runnerAddress, [this](std::optional<platform::expert_choices> answer) {
         if (answer && own && answer->epoch == own->status.epoch)
-            own->choices = std::move(answer->choices);
+            noteChoices(std::move(*answer));
     });
 }
 
+void agent_process::implementation::noteChoices(platform::expert_choices&& answer)
+{
+    const std::vector<std::uint32_t>& before = lastChoices.choices;
+    const bool isContinued = lastChoices.epoch == answer.epoch && before.size() == answer.choices.size();
+    if (isContinued) {
+        own->choices.assign(before.size(), 0);
+        for (std::size_t i = 0; i < before.size(); ++i)
+            own->choices[i] = static_cast<std::uint16_t>(std::min<std::uint32_t>(answer.choices[i] - std::min(before[i], answer.choices[i]), UINT16_MAX));
+    }
+    lastChoices = std::move(answer);
+}
+
 void agent_process::implementation::tellEntries(const platform::runner_report& report)
 {
     load_message message;
     message.load = report.load;
-    for (const auto& [ip, entry] : entries)
-        message.entries.push_back(ip);
+    if (reportCount % reportsPerEntryList == 0) {
+        for (const auto& [ip, entry] : entries)
+            message.entries.push_back(ip);
+    }
     const std::string bytes = encode(message);
     for (const auto& [ip, entry] : entries)
         port->send(bytes, entry.address);
@@ -262,8 +280,9 @@
         } else if (const auto to = udpEndpoint(members.at(rank).address, options.firstPeerPort + agentDatagramPort)) {
             port->send(encode(*own), *to);
         }
+        // Only the first one plans.
+        own->choices.clear();
     }
-    own->choices.clear();
 }
 
 bool agent_process::implementation::shouldLead(time_point now) const
--- a/fleet/entry_context.cpp
+++ b/fleet/entry_context.cpp
@@ -50,6 +50,12 @@
     fillRoom();
 }
 
+void entry_context::setEntriesAlive(std::size_t count)
+{
+    m_entriesAlive = count;
+    m_runners.setEntryCount(count);
+}
+
 retry_share& entry_context::retriesOf(const pool_id& pool)
 {
     return m_retries.try_emplace(pool, m_settings.retries).first->second;
--- a/fleet/entry_context.h
+++ b/fleet/entry_context.h
@@ -33,7 +33,7 @@
     // Puts the configuration in force; a version that is not newer is ignored.
     void setConfiguration(std::shared_ptr<const route_index>);
     void setRunners(const std::vector<listed_runner>&);
-    void setEntriesAlive(std::size_t count) { m_entriesAlive = count; }
+    void setEntriesAlive(std::size_t count);
 
     // Null until a configuration is known.
     const std::shared_ptr<const route_index>& routes() const { return m_routes; }
--- a/fleet/fleet_message.h
+++ b/fleet/fleet_message.h
@@ -51,8 +51,8 @@
     rank_status status;
     // Requests that run on the rank.
     std::uint32_t running = 0;
-    // Choices of experts since the start of the runner, set by set. Empty when there is nothing new.
-    std::vector<std::uint32_t> choices;
+    // Choices of experts since the message before, set by set. Empty when there is nothing new.
+    std::vector<std::uint16_t> choices;
 };
 
 using fleet_message = std::variant<entry_beat_message, load_message, rank_message>;
--- a/fleet/group_coordinator.cpp
+++ b/fleet/group_coordinator.cpp
@@ -18,7 +18,10 @@
 // Reports come ten times a second.
 constexpr duration silence = std::chrono::milliseconds(350);
 
-// Part by which a plan has to shorten the passes of a group without work, beyond the gain that is always asked for.
+// Part by which a plan has to shorten the passes, for each rank: a switch takes two orders to each of them.
+constexpr double gainPerRank = 0.0025;
+
+// The same for a group without work, beyond the gain that is always asked for.
 constexpr double gainAtRest = 0.15;
 
 const char* nameOf(map_switch::stage stage)
@@ -77,7 +80,7 @@
     if (sets > 0 && !message.choices.empty()) {
         if (!m_demand)
             m_demand.emplace(sets, static_cast<std::uint32_t>(message.choices.size() / sets));
-        m_demand->report(status.rank, message.choices, now);
+        m_demand->report(message.choices, now);
     }
     m_switch.report(status);
 }
@@ -127,7 +130,7 @@
     settings.placesPerRank = m_limits.placesPerRank;
     settings.newPerRank = m_limits.newPerRank;
     // Where few requests run, passes are short under any map, and copies and orders are not worth their cost.
-    settings.minimumGain += gainAtRest * (1 - pressure());
+    settings.minimumGain = gainPerRank * m_groupSize + gainAtRest * (1 - pressure());
     const auto plan = placement_planner(settings).improve(*current, popularity, speeds);
     if (!plan)
         return;
--- a/serving/runner_directory.cpp
+++ b/serving/runner_directory.cpp
@@ -33,6 +33,13 @@
 // Weight of a new gap; a group has some hundred a second.
 constexpr double gapSmoothing = 0.03;
 
+// Each entry compares its part of the runners, but no fewer than these.
+constexpr std::size_t fewestCompared = 4;
+
+// Puts a runner behind all that are compared, or behind all others.
+constexpr double notComparedScore = 1e5;
+constexpr double excludedScore = 1e7;
+
 // Until a first answer has been seen.
 constexpr double assumedFirstAnswerMs = 200;
 
@@ -125,6 +132,12 @@
     return (load + 1) * pace * gap * (1 + failurePenalty * record.failureRate) * (1 + record.answerMs / 1000);
 }
 
+bool runner_directory::isCompared(std::size_t poolSize)
+{
+    const double part = static_cast<double>(std::max(poolSize / std::max<std::size_t>(m_entryCount, 1), fewestCompared)) / static_cast<double>(poolSize);
+    return m_random() < part;
+}
+
 std::optional<runner_id> runner_directory::choose(const pool_id& pool, const std::vector<runner_id>& excluded, time_point now)
 {
     const auto members = m_byPool.find(pool);
@@ -137,9 +150,11 @@
         if (!isUsable(record, now) || record.estimatedLoad(now) >= limitOf(record))
             continue;
         double value = score(record, now);
+        // Entries that compared all runners by the same reports would all take the same one.
+        if (!isCompared(members->second.size()))
+            value += notComparedScore;
         if (std::find(excluded.begin(), excluded.end(), id) != excluded.end())
-            value += 1e6;
-        // Entries with the same reports must not all take the same runner.
+            value += excludedScore;
         value *= 1 + 0.2 * m_random();
         if (value < bestScore) {
             bestScore = value;
--- a/serving/runner_directory.h
+++ b/serving/runner_directory.h
@@ -31,6 +31,9 @@
     // Takes a report of a runner's load. It counts the work of all entries.
     void reportLoad(const rank_load&, time_point now);
 
+    // Sets the number of entries that choose among the same runners by the same reports.
+    void setEntryCount(std::size_t count) { m_entryCount = count; }
+
     // Chooses a runner with room for one more request, or nothing. Runners in `excluded` are used only if there is no other.
     std::optional<runner_id> choose(const pool_id&, const std::vector<runner_id>& excluded, time_point now);
 
@@ -84,12 +87,14 @@
     };
 
     std::uint32_t limitOf(const runner_record&) const;
+    bool isCompared(std::size_t poolSize);
     bool isUsable(const runner_record&, time_point now) const;
     double groupGapMs(const group_id&) const;
     double score(const runner_record&, time_point now) const;
     runner_record* findRecord(const runner_id&);
 
     random_source m_random;
+    std::size_t m_entryCount = 1;
     std::unordered_map<runner_id, runner_record> m_runners;
     std::unordered_map<pool_id, std::vector<runner_id>> m_byPool;
     std::unordered_map<pool_id, std::uint32_t> m_slots;
