Test the serving decisions, the translation and the entry over real sockets

Found by the tests and mended: a request with a transfer coding other than chunked was passed on without its body, so that its body could be taken for the next request; a rank that is slow but carries the mean load was not relieved by the planner; of requests that arrived at the same moment each took itself for the first.

--- a/expert_map/set_placement.cpp
+++ b/expert_map/set_placement.cpp
@@ -135,7 +135,7 @@
         if (m_holders[expert].size() > 1)
             consider({ from, change::none, expert, 0 });
         for (std::size_t to = 0; to < m_byRank.size(); ++to) {
-            if (!mayCopyTo[to] || m_loads[to] >= m_loads[from] || holds(to, expert))
+            if (!mayCopyTo[to] || m_steep[to] >= m_steep[from] || holds(to, expert))
                 continue;
             if (m_byRank[to].size() < placesPerRank) {
                 consider({ to, expert, change::none, 0 });
--- a/fleet/entry_context.cpp
+++ b/fleet/entry_context.cpp
@@ -22,6 +22,7 @@
     , m_metrics(metrics)
     , m_random(std::random_device {}())
     , m_runners([this] { return std::uniform_real_distribution<double>()(m_random); })
+    , m_startedAt(steadyNow())
     , m_fillTimer(m_executor)
 {
 }
@@ -58,7 +59,7 @@
 
 retry_share& entry_context::retriesOf(const pool_id& pool)
 {
-    return m_retries.try_emplace(pool, m_settings.retries).first->second;
+    return m_retries.try_emplace(pool, m_settings.retries, m_startedAt).first->second;
 }
 
 duration entry_context::longestPatience(const std::string& route, duration patience)
--- a/fleet/entry_context.h
+++ b/fleet/entry_context.h
@@ -83,6 +83,7 @@
     std::unordered_map<std::string, duration> m_longestPatience;
     std::uint64_t m_lastTicket = 0;
     std::size_t m_entriesAlive = 1;
+    time_point m_startedAt;
     boost::asio::steady_timer m_fillTimer;
     bool m_isFillScheduled = false;
 };
--- a/relay/caller_connection.cpp
+++ b/relay/caller_connection.cpp
@@ -191,11 +191,17 @@
 {
     timer.cancel();
     auto message = parser->release();
+    const auto coding = message.find(http::field::transfer_encoding);
     const bool hasLength = message.find(http::field::content_length) != message.end();
-    if (hasLength && message.find(http::field::transfer_encoding) != message.end()) {
+    if (hasLength && coding != message.end()) {
         refuse(self, 400, "the request has both a length and a transfer coding");
         return;
     }
+    // The end of a body with any other coding is not known, and what follows could be taken for a request.
+    if (coding != message.end() && !boost::beast::iequals(coding->value(), "chunked")) {
+        refuse(self, 400, "the request has a transfer coding other than chunked");
+        return;
+    }
     if (message.version() == 11 && message.count(http::field::host) != 1) {
         refuse(self, 400, "the request does not name one host");
         return;
--- a/serving/retry_share.cpp
+++ b/serving/retry_share.cpp
@@ -11,8 +11,9 @@
 
 }
 
-retry_share::retry_share(settings values)
+retry_share::retry_share(settings values, time_point startedAt)
     : m_settings(values)
+    , m_startedAt(startedAt)
 {
 }
 
@@ -25,7 +26,8 @@
 bool retry_share::covers(std::size_t entriesAlive, time_point now)
 {
     forget(now);
-    const double slack = m_settings.slack * usedPartOfSlack / static_cast<double>(std::max<std::size_t>(entriesAlive, 1));
+    const bool isNew = now - m_startedAt < m_settings.window;
+    const double slack = isNew ? 0 : m_settings.slack * usedPartOfSlack / static_cast<double>(std::max<std::size_t>(entriesAlive, 1));
     const double allowed = m_settings.ratio * static_cast<double>(m_requests.size()) + slack;
     return static_cast<double>(m_retries.size()) + 1 <= allowed;
 }
--- a/serving/retry_share.h
+++ b/serving/retry_share.h
@@ -18,7 +18,9 @@
         duration window = std::chrono::seconds(10);
     };
 
-    explicit retry_share(settings);
+    // A process that starts does not know what its predecessor spent, nor how many entries there are; it takes none of the
+    // slack in its first window.
+    retry_share(settings, time_point startedAt);
 
     void requestArrived(time_point now);
 
@@ -31,6 +33,7 @@
     void forget(time_point now);
 
     settings m_settings;
+    time_point m_startedAt;
     std::deque<time_point> m_requests;
     std::deque<time_point> m_retries;
 };
--- a/serving/waiting_line.cpp
+++ b/serving/waiting_line.cpp
@@ -25,6 +25,8 @@
         return aTimely;
     if (a.isReturning != b.isReturning)
         return a.isReturning;
+    if (a.arrivedAt == b.arrivedAt)
+        return a.ticket < b.ticket;
     return aTimely ? a.arrivedAt < b.arrivedAt : a.arrivedAt > b.arrivedAt;
 }
 
--- /dev/null
+++ b/tests/fleet/entry_fixture.h
@@ -0,0 +1,273 @@
+#pragma once
+
+#include "fleet/caller_server.h"
+#include "fleet/entry_process.h"
+#include "fleet/event_log.h"
+#include "platform/settings.h"
+#include "platform/store_client.h"
+#include "relay/http_request_message.h"
+#include "relay/http_response_head.h"
+#include "relay/runner_exchange.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace sardinelb::test {
+
+// What a caller got.
+struct caller_result {
+    int status = 0;
+    std::map<std::string, std::string> fields;
+    std::string body;
+    runner_exchange::ending ending = runner_exchange::ending::NotConnected;
+    bool isEnded = false;
+    std::chrono::milliseconds took {};
+};
+
+// A runner that answers as the test says, and keeps what it received.
+struct stand_in_runner {
+    using behaviour = std::function<void(const std::shared_ptr<caller_connection>&, const http_request_message&)>;
+
+    std::string id;
+    std::string address;
+    std::string pool;
+    behaviour answer;
+    std::vector<http_request_message> received;
+    std::size_t callersLeft = 0;
+    std::shared_ptr<caller_server> server;
+};
+
+inline std::string fieldOf(const http_request_message& message, const std::string& name)
+{
+    for (const http_field& field : message.fields) {
+        if (field.name == name)
+            return field.value;
+    }
+    return {};
+}
+
+// An entry, a store and runners in one thread, over sockets on loopback.
+class entry_fixture : public testing::Test {
+protected:
+    entry_fixture()
+        : m_log("test-entry")
+    {
+        m_settings.daemon = daemon_id("test-entry");
+        m_settings.ip = "127.0.0.1";
+        m_settings.callerAddress = freeAddress();
+        m_settings.readyAddress = freeAddress();
+        m_settings.storeAddress = freeAddress();
+        m_settings.firstPeerPort = freePeerPorts();
+        m_settings.retries = { 0.2, 50, std::chrono::seconds(10) };
+        m_configuration = defaultConfiguration();
+    }
+
+    static std::string defaultConfiguration()
+    {
+        return R"({"version":7,"routes":[
+            {"name":"book","hostname":"h.example","prefix":"/book/","route_type":"unsafe","timeout_ms":1000,"target_latency_ms":100,"priority":1,"service":"plain","attempts":2},
+            {"name":"look","hostname":"h.example","prefix":"/look/","route_type":"safe","timeout_ms":1000,"target_latency_ms":100,"priority":1,"service":"plain","attempts":2},
+            {"name":"short","hostname":"h.example","prefix":"/short/","route_type":"unsafe","timeout_ms":200,"target_latency_ms":100,"priority":1,"service":"plain","attempts":1},
+            {"name":"open","hostname":"h.example","prefix":"/open/","route_type":"safe","timeout_ms":1000,"target_latency_ms":100,"service":"plain","attempts":1,"public":true},
+            {"name":"write","hostname":"h.example","prefix":"/write/","route_type":"streaming","timeout_ms":8000,"target_latency_ms":500,"priority":1,"service":"plain","attempts":2,"resumable":true,"target_gap_ms":120}],
+            "services":[{"name":"plain","health_path":"/healthz","max_conns":100}],
+            "limits":{"max_header_bytes":4096,"max_body_bytes":10000,"header_timeout_ms":300,"idle_timeout_ms":2000},
+            "tenants":[{"name":"crew","api_keys":["k1","k2"],"priority":1}]})";
+    }
+
+    stand_in_runner& addRunner(const std::string& id, stand_in_runner::behaviour answer)
+    {
+        auto runner = std::make_unique<stand_in_runner>();
+        runner->id = id;
+        runner->address = freeAddress();
+        runner->pool = "plain";
+        runner->answer = std::move(answer);
+        caller_connection::hooks hooks;
+        hooks.request = [raw = runner.get()](const std::shared_ptr<caller_connection>& caller, http_request_message&& message) {
+            raw->received.push_back(message);
+            caller->setCallerLeft([raw] { ++raw->callersLeft; });
+            raw->answer(caller, message);
+        };
+        hooks.refused = [](int, const char*) {};
+        runner->server = std::make_shared<caller_server>(m_context.get_executor(), std::move(hooks));
+        std::string problem;
+        EXPECT_TRUE(runner->server->listen(runner->address, problem)) << problem;
+        m_rows[id] = R"({"service":"plain","address":")" + runner->address + R"(","zone":"z","version":"v1","slots":6,"state":"ready","cold_left_ms":0,"seq":1,"born":1000})";
+        m_runners.push_back(std::move(runner));
+        return *m_runners.back();
+    }
+
+    // Lists a runner at an address where nothing listens.
+    void addAbsentRunner(const std::string& id)
+    {
+        m_rows[id] = R"({"service":"plain","address":")" + freeAddress() + R"(","zone":"z","version":"v1","slots":6,"state":"ready","seq":1,"born":1000})";
+    }
+
+    void startStore()
+    {
+        caller_connection::hooks hooks;
+        hooks.request = [this](const std::shared_ptr<caller_connection>& caller, http_request_message&& message) { answerStore(caller, message); };
+        hooks.refused = [](int, const char*) {};
+        m_store = std::make_shared<caller_server>(m_context.get_executor(), std::move(hooks));
+        std::string problem;
+        ASSERT_TRUE(m_store->listen(m_settings.storeAddress, problem)) << problem;
+    }
+
+    // Starts the entry; with a store, waits until it is ready.
+    void startEntry(bool untilReady = true)
+    {
+        m_entry = std::make_unique<entry_process>(m_context, m_settings, m_log);
+        ASSERT_TRUE(m_entry->start());
+        if (!untilReady)
+            return;
+        for (int i = 0; i < 100 && readiness() != 200; ++i)
+            runFor(std::chrono::milliseconds(10));
+        ASSERT_EQ(readiness(), 200);
+    }
+
+    int readiness()
+    {
+        return callAt(m_settings.readyAddress, "GET /v1/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").status;
+    }
+
+    static std::string request(const std::string& method, const std::string& target, const std::string& fields = "Authorization: Bearer k1\r\n", const std::string& body = "")
+    {
+        std::string text = method + " " + target + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\nDeadline-Ms: 2000\r\n" + fields;
+        if (method == "POST")
+            text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+        return text + "\r\n" + body;
+    }
+
+    caller_result call(const std::string& bytes) { return callAt(m_settings.callerAddress, bytes); }
+
+    caller_result callAt(const std::string& address, const std::string& bytes)
+    {
+        const auto result = beginCall(address, bytes);
+        const auto begin = std::chrono::steady_clock::now();
+        while (!result->isEnded && std::chrono::steady_clock::now() - begin < std::chrono::seconds(12))
+            m_context.run_one_for(std::chrono::milliseconds(100));
+        result->took = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - begin);
+        EXPECT_TRUE(result->isEnded) << "no answer";
+        return *result;
+    }
+
+    std::shared_ptr<caller_result> beginCall(const std::string& address, const std::string& bytes)
+    {
+        auto result = std::make_shared<caller_result>();
+        runner_exchange::hooks hooks;
+        hooks.head = [result](const http_response_head& head) {
+            result->status = head.status;
+            for (const http_field& field : head.fields)
+                result->fields[field.name] = field.value;
+        };
+        hooks.body = [result](std::string_view part) { result->body += part; };
+        hooks.end = [result](runner_exchange::ending how) {
+            result->ending = how;
+            result->isEnded = true;
+        };
+        m_exchange = std::make_shared<runner_exchange>(m_context.get_executor(), std::move(hooks));
+        m_exchange->start(address, bytes);
+        return result;
+    }
+
+    void runFor(std::chrono::milliseconds time)
+    {
+        const auto end = std::chrono::steady_clock::now() + time;
+        while (std::chrono::steady_clock::now() < end)
+            m_context.run_one_for(std::chrono::milliseconds(5));
+    }
+
+    void later(std::chrono::milliseconds time, std::function<void()> action)
+    {
+        auto timer = std::make_shared<boost::asio::steady_timer>(m_context, time);
+        timer->async_wait([timer, action = std::move(action)](const boost::system::error_code&) { action(); });
+    }
+
+    static stand_in_runner::behaviour answers(int status, const std::string& body, const std::string& fields = "Attempt-Id: a1\r\nServer-Seal: s.1\r\n")
+    {
+        return [=](const std::shared_ptr<caller_connection>& caller, const http_request_message&) { caller->answer(status, fields, body); };
+    }
+
+    // Reads the request and resets the connection.
+    static stand_in_runner::behaviour breaksOff()
+    {
+        return [](const std::shared_ptr<caller_connection>& caller, const http_request_message&) { caller->breakOff(); };
+    }
+
+    static stand_in_runner::behaviour isSilent()
+    {
+        return [](const std::shared_ptr<caller_connection>&, const http_request_message&) {};
+    }
+
+    std::size_t arrivals() const
+    {
+        std::size_t count = 0;
+        for (const auto& runner : m_runners)
+            count += runner->received.size();
+        return count;
+    }
+
+    static std::string freeAddress()
+    {
+        boost::asio::io_context context;
+        boost::asio::ip::tcp::acceptor acceptor(context, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+        return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    }
+
+    static std::uint16_t freePeerPorts()
+    {
+        const std::string address = freeAddress();
+        return static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
+    }
+
+    boost::asio::io_context m_context;
+    event_log m_log;
+    platform::settings m_settings;
+    std::string m_configuration;
+    // Rows of the runners' table.
+    std::map<std::string, std::string> m_rows;
+    // Status with which the store answers everything, if not 0.
+    int m_storeFailure = 0;
+    std::uint64_t m_revision = 10;
+    std::vector<std::unique_ptr<stand_in_runner>> m_runners;
+    std::shared_ptr<caller_server> m_store;
+    std::unique_ptr<entry_process> m_entry;
+    std::shared_ptr<runner_exchange> m_exchange;
+
+private:
+    void answerStore(const std::shared_ptr<caller_connection>& caller, const http_request_message& message)
+    {
+        if (m_storeFailure != 0) {
+            caller->answer(m_storeFailure, "", "");
+            return;
+        }
+        const bool isConfiguration = message.target.find("table=op") != std::string::npos;
+        const bool isFeed = message.target.find("rows-feed") != std::string::npos;
+        std::vector<platform::store_row> rows;
+        if (isConfiguration) {
+            rows.push_back({ "config", m_configuration, row_revision(m_revision), false });
+        } else {
+            for (const auto& [id, value] : m_rows)
+                rows.push_back({ id, value, row_revision(m_revision), false });
+        }
+        const std::string body = platform::encodeRows(rows, row_revision(m_revision));
+        // A feed without news is held back for a while.
+        if (isFeed)
+            later(std::chrono::milliseconds(50), [caller, body] { caller->answer(200, "", body); });
+        else
+            caller->answer(200, "", body);
+    }
+};
+
+}
--- /dev/null
+++ b/tests/fleet/expert_map_test.cpp
@@ -0,0 +1,169 @@
+#include "expert_map/expert_demand.h"
+#include "expert_map/placement_planner.h"
+#include "expert_map/set_placement.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <numeric>
+#include <random>
+
+namespace sardinelb::test {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+// Experts in turn, as groups use them before the first map.
+expert_placement inTurn(std::size_t sets, std::size_t ranks, std::size_t experts)
+{
+    expert_placement placement;
+    for (std::size_t set = 0; set < sets; ++set) {
+        auto& byRank = placement.sets.emplace_back(ranks);
+        for (std::size_t expert = 0; expert < experts; ++expert)
+            byRank[expert % ranks].push_back(static_cast<expert_number>(expert));
+    }
+    return placement;
+}
+
+// One expert of each set is chosen as often as a quarter of all others.
+std::vector<std::vector<double>> oneHotExpert(std::size_t sets, std::size_t experts, std::uint32_t seed)
+{
+    std::mt19937 random(seed);
+    std::vector<std::vector<double>> popularity(sets, std::vector<double>(experts));
+    for (auto& set : popularity) {
+        for (double& part : set)
+            part = 0.5 + static_cast<double>(random() % 1000) / 1000;
+        set[random() % experts] = static_cast<double>(experts) / 4;
+        const double total = std::accumulate(set.begin(), set.end(), 0.0);
+        for (double& part : set)
+            part /= total;
+    }
+    return popularity;
+}
+
+placement_planner::settings smallGroup()
+{
+    placement_planner::settings settings;
+    settings.placesPerRank = 11;
+    settings.newPerRank = 4;
+    return settings;
+}
+
+}
+
+class placement_plan : public testing::Test { };
+
+// Guards against a map under which the busiest rank carries three times the mean.
+TEST_F(placement_plan, hotExpertInEachSet_twoPlans_busiestRankUnder130PercentOfTheMean)
+{
+    for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+        const auto popularity = oneHotExpert(6, 64, seed);
+        const placement_planner planner(smallGroup());
+        const auto first = planner.improve(inTurn(6, 8, 64), popularity, std::vector<double>(8, 1));
+        ASSERT_TRUE(first);
+        EXPECT_GT(first->balanceBefore, 2);
+        const auto second = planner.improve(first->placement, popularity, std::vector<double>(8, 1));
+        EXPECT_LE((second ? second : first)->balanceAfter, 1.3) << "seed " << seed;
+    }
+}
+
+// Guards against maps that ranks refuse: an expert without a rank, too many places or too many new experts.
+TEST_F(placement_plan, anyDemand_everyPlan_keepsTheLimitsOfTheRanks)
+{
+    expert_placement current = inTurn(6, 8, 64);
+    const auto settings = smallGroup();
+    for (std::uint32_t seed = 1; seed <= 60; ++seed) {
+        const auto plan = placement_planner(settings).improve(current, oneHotExpert(6, 64, seed), std::vector<double>(8, 1));
+        if (!plan)
+            continue;
+        std::vector<std::uint32_t> copies(8);
+        for (std::size_t set = 0; set < 6; ++set) {
+            std::vector<int> held(64);
+            for (std::size_t rank = 0; rank < 8; ++rank) {
+                const auto& now = plan->placement.sets[set][rank];
+                const auto& before = current.sets[set][rank];
+                ASSERT_LE(now.size(), settings.placesPerRank);
+                ASSERT_TRUE(std::is_sorted(now.begin(), now.end()));
+                std::uint32_t added = 0;
+                for (const expert_number expert : now) {
+                    ++held[expert];
+                    added += std::binary_search(before.begin(), before.end(), expert) ? 0 : 1;
+                }
+                ASSERT_LE(added, settings.newPerRank);
+                copies[rank] += added;
+            }
+            ASSERT_TRUE(std::all_of(held.begin(), held.end(), [](int count) { return count > 0; }));
+        }
+        for (const std::uint32_t count : copies)
+            ASSERT_LE(count, settings.copiesPerRank);
+        current = plan->placement;
+    }
+}
+
+TEST_F(placement_plan, slowRank_evenDemand_carriesLessThanTheOthers)
+{
+    std::vector<double> speeds(8, 1);
+    speeds[2] = 0.25;
+    std::vector<std::vector<double>> popularity(2, std::vector<double>(64, 1.0 / 64));
+    expert_placement current = inTurn(2, 8, 64);
+    for (int i = 0; i < 6; ++i) {
+        if (const auto plan = placement_planner(smallGroup()).improve(current, popularity, speeds))
+            current = plan->placement;
+    }
+    std::vector<double> load(8);
+    for (std::size_t rank = 0; rank < 8; ++rank) {
+        for (const expert_number expert : current.sets[0][rank]) {
+            const auto holders = std::count_if(current.sets[0].begin(), current.sets[0].end(), [&](const auto& held) { return std::binary_search(held.begin(), held.end(), expert); });
+            load[rank] += 1.0 / 64 / static_cast<double>(holders);
+        }
+    }
+    EXPECT_LT(load[2], 0.7 * (1 - load[2]) / 7);
+}
+
+// Guards against copies and orders for a gain that is not worth them.
+TEST_F(placement_plan, balancedGroup_evenDemand_noPlan)
+{
+    const std::vector<std::vector<double>> popularity(6, std::vector<double>(64, 1.0 / 64));
+    EXPECT_FALSE(placement_planner(smallGroup()).improve(inTurn(6, 8, 64), popularity, std::vector<double>(8, 1)));
+}
+
+// Guards against a running sum that drifts away from what the placement really costs.
+TEST_F(placement_plan, setPlacement_manyChanges_costEqualsThatOfAFreshOne)
+{
+    std::mt19937 random(3);
+    const auto popularity = oneHotExpert(1, 64, 5).front();
+    set_placement placement(inTurn(1, 8, 64).sets.front(), popularity, std::vector<double>(8, 1));
+    for (int i = 0; i < 40; ++i) {
+        const auto change = placement.best(11, std::vector<bool>(8, true));
+        placement.apply(change);
+        const set_placement fresh(placement.byRank(), popularity, std::vector<double>(8, 1));
+        ASSERT_NEAR(placement.cost(), fresh.cost(), 1e-9);
+        ASSERT_NEAR(change.cost, fresh.cost(), 1e-9);
+    }
+}
+
+class demand_estimate : public testing::Test { };
+
+// Guards against a map for the demand of some seconds ago.
+TEST_F(demand_estimate, demandMoves_afterOneSecond_newExpertLeads)
+{
+    expert_demand demand(1, 4);
+    for (int i = 0; i < 50; ++i)
+        demand.report({ 100, 10, 10, 10 }, time_point(milliseconds(i * 100)));
+    for (int i = 50; i < 60; ++i)
+        demand.report({ 10, 10, 10, 100 }, time_point(milliseconds(i * 100)));
+    const auto parts = demand.popularity().front();
+    EXPECT_GT(parts[3], 0.5);
+    EXPECT_LT(parts[0], 0.25);
+    EXPECT_NEAR(std::accumulate(parts.begin(), parts.end(), 0.0), 1, 1e-9);
+}
+
+TEST_F(demand_estimate, report_ofAnotherSize_ignored)
+{
+    expert_demand demand(1, 4);
+    demand.report({ 1, 2 }, time_point(milliseconds(1)));
+    EXPECT_EQ(demand.recentChoices(), 0);
+}
+
+}
--- /dev/null
+++ b/tests/fleet/load_patterns_test.cpp
@@ -0,0 +1,221 @@
+#include "serving/runner_directory.h"
+#include "serving/waiting_line.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <random>
+
+namespace sardinelb::test {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+time_point at(milliseconds time)
+{
+    return time_point(time);
+}
+
+waiting_request waitingFrom(std::uint64_t ticket, milliseconds arrived, std::int32_t priority = 1)
+{
+    waiting_request request;
+    request.ticket = ticket;
+    request.priority = priority;
+    request.arrivedAt = at(arrived);
+    request.latestTimelyStart = at(arrived + milliseconds(300));
+    request.latestStart = at(arrived + milliseconds(1500));
+    return request;
+}
+
+}
+
+class waiting_order : public testing::Test { };
+
+// Guards against serving requests in order of arrival under overload, which makes every answer late: demand is twice what
+// the runners can do for five seconds.
+TEST_F(waiting_order, burst_twiceTheCapacity_halfOfThePlacesGoToTimelyRequests)
+{
+    waiting_line line;
+    std::uint64_t ticket = 0;
+    int timely = 0;
+    int placed = 0;
+    for (milliseconds now { 0 }; now < seconds(5); now += milliseconds(10)) {
+        line.add(waitingFrom(++ticket, now));
+        line.takeHopeless(at(now));
+        if (now.count() % 20 != 0)
+            continue;
+        const auto next = line.takeNext(at(now));
+        ASSERT_TRUE(next);
+        line.placed(at(now));
+        ++placed;
+        timely += at(now) <= next->latestTimelyStart ? 1 : 0;
+    }
+    EXPECT_GE(timely, placed * 9 / 10);
+}
+
+TEST_F(waiting_order, priorities_bothWaiting_higherGoesFirst)
+{
+    waiting_line line;
+    line.add(waitingFrom(1, milliseconds(0), 2));
+    line.add(waitingFrom(2, milliseconds(10), 1));
+    EXPECT_EQ(line.takeNext(at(milliseconds(20)))->ticket, 2U);
+}
+
+// Guards against turning away a caller for good that came back when it was told to.
+TEST_F(waiting_order, lateRequests_oneHasComeBack_itGoesFirst)
+{
+    waiting_line line;
+    line.add(waitingFrom(1, milliseconds(0)));
+    auto returning = waitingFrom(2, milliseconds(10));
+    returning.isReturning = true;
+    line.add(returning);
+    line.add(waitingFrom(3, milliseconds(20)));
+    EXPECT_EQ(line.takeNext(at(milliseconds(900)))->ticket, 2U);
+}
+
+// Guards against holding a caller that cannot be served until its patience ends.
+TEST_F(waiting_order, line_longerThanPatienceAllows_newRequestIsTurnedAwayAtOnce)
+{
+    waiting_line line;
+    for (std::uint64_t i = 1; i <= 30; ++i)
+        line.add(waitingFrom(i, milliseconds(0)));
+    EXPECT_FALSE(line.isWorthWaiting(waitingFrom(99, milliseconds(0)), 10, at(milliseconds(0))));
+    EXPECT_TRUE(line.isWorthWaiting(waitingFrom(99, milliseconds(0)), 100, at(milliseconds(0))));
+    EXPECT_GE(line.expectedWait(10, at(milliseconds(0))), milliseconds(2000));
+}
+
+// Guards against refusing everybody after all machines lost power, when no place has been seen for a while.
+TEST_F(waiting_order, line_noPlaceSeenYet_possiblePlacesDecide)
+{
+    const waiting_line line;
+    EXPECT_TRUE(line.isWorthWaiting(waitingFrom(1, milliseconds(0)), 60, at(milliseconds(0))));
+}
+
+class runner_choice_under_load : public testing::Test {
+protected:
+    runner_choice_under_load()
+        : m_random(1)
+    {
+    }
+
+    runner_directory directoryOf(std::size_t runners, std::uint32_t slots)
+    {
+        runner_directory directory([this] { return std::uniform_real_distribution<double>()(m_random); });
+        std::vector<listed_runner> listings;
+        for (std::size_t i = 0; i < runners; ++i) {
+            listed_runner runner;
+            runner.id = runner_id("r" + std::to_string(i));
+            runner.pool = m_pool;
+            runner.address = "10.0.0." + std::to_string(i) + ":80";
+            runner.slots = 6;
+            listings.push_back(runner);
+        }
+        directory.setSlots(m_pool, slots);
+        directory.setRunners(listings);
+        return directory;
+    }
+
+    rank_load load(std::size_t runner, std::uint32_t running, double pace = 1)
+    {
+        rank_load result;
+        result.runner = runner_id("r" + std::to_string(runner));
+        result.group = group_id("g" + std::to_string(runner / 8));
+        result.rank = rank_id(static_cast<std::uint32_t>(runner % 8));
+        result.running = running;
+        result.pace = pace;
+        return result;
+    }
+
+    std::mt19937 m_random;
+    pool_id m_pool { "p" };
+};
+
+// Guards against all entries sending to the one runner that was free in the last report.
+TEST_F(runner_choice_under_load, fifteenEntries_sameReports_noRunnerGetsMoreThanAQuarter)
+{
+    std::map<runner_id, int> chosen;
+    for (int entry = 0; entry < 15; ++entry) {
+        runner_directory directory = directoryOf(64, 10);
+        directory.setEntryCount(15);
+        for (std::size_t i = 0; i < 64; ++i)
+            directory.reportLoad(load(i, i == 5 ? 3 : 5), at(milliseconds(0)));
+        ++chosen[*directory.choose(m_pool, {}, at(milliseconds(1)))];
+    }
+    for (const auto& [runner, count] : chosen)
+        EXPECT_LE(count, 4) << runner.value();
+}
+
+TEST_F(runner_choice_under_load, slowRank_sameLoad_getsFewerRequests)
+{
+    runner_directory directory = directoryOf(8, 12);
+    for (std::size_t i = 0; i < 8; ++i)
+        directory.reportLoad(load(i, 4, i == 3 ? 5.0 : 1.0), at(milliseconds(0)));
+    for (int i = 0; i < 20; ++i) {
+        const runner_id chosen = *directory.choose(m_pool, {}, at(milliseconds(1)));
+        EXPECT_NE(chosen, runner_id("r3"));
+        directory.started(chosen);
+    }
+}
+
+// Guards against ever more running requests in a group whose passes are already too long for its streams.
+TEST_F(runner_choice_under_load, groupWithLateGaps_limitFallsAndRecovers)
+{
+    runner_directory directory = directoryOf(8, 12);
+    for (std::size_t i = 0; i < 8; ++i)
+        directory.reportLoad(load(i, 12), at(milliseconds(0)));
+    const auto feed = [&](milliseconds gap, milliseconds from, milliseconds until) {
+        for (milliseconds now = from; now < until; now += milliseconds(10))
+            directory.eventGap(runner_id("r1"), gap, milliseconds(120), at(now));
+    };
+    feed(milliseconds(200), milliseconds(0), seconds(2));
+    EXPECT_LT(directory.groups().front().limitPerRank, 8);
+    feed(milliseconds(60), seconds(2), seconds(8));
+    EXPECT_EQ(directory.groups().front().limitPerRank, 12);
+}
+
+// Guards against a grey runner that keeps its share of the requests because it fails quickly.
+TEST_F(runner_choice_under_load, runnerThatFailsHalf_othersHealthy_getsFewRequests)
+{
+    runner_directory directory = directoryOf(3, 0);
+    int toGrey = 0;
+    const runner_id grey("r0");
+    for (int i = 0; i < 300; ++i) {
+        const time_point now = at(milliseconds(i * 20));
+        const runner_id chosen = *directory.choose(m_pool, {}, now);
+        directory.started(chosen);
+        if (chosen == grey && ++toGrey % 2 == 0)
+            directory.failed(chosen, attempt_failure::ServerError, now);
+        else
+            directory.succeeded(chosen, milliseconds(20));
+    }
+    EXPECT_LT(toGrey, 60);
+}
+
+// Guards against a group that lost a rank being taken for free.
+TEST_F(runner_choice_under_load, brokenGroup_otherGroupOpen_getsNoRequests)
+{
+    runner_directory directory = directoryOf(16, 12);
+    for (std::size_t i = 0; i < 16; ++i) {
+        rank_load report = load(i, i < 8 ? 0 : 6);
+        report.isGroupOpen = i >= 8;
+        directory.reportLoad(report, at(milliseconds(0)));
+    }
+    for (int i = 0; i < 20; ++i) {
+        const runner_id chosen = *directory.choose(m_pool, {}, at(milliseconds(1)));
+        EXPECT_GE(std::stoi(chosen.value().substr(1)), 8);
+    }
+}
+
+TEST_F(runner_choice_under_load, allRunnersFull_noRoomIsFound)
+{
+    runner_directory directory = directoryOf(8, 12);
+    for (std::size_t i = 0; i < 8; ++i)
+        directory.reportLoad(load(i, 12), at(milliseconds(0)));
+    EXPECT_FALSE(directory.choose(m_pool, {}, at(milliseconds(1))));
+    EXPECT_EQ(directory.room(m_pool, at(milliseconds(1))), 0U);
+    EXPECT_GT(directory.placesPerSecond(m_pool), 0);
+}
+
+}
--- /dev/null
+++ b/tests/fleet/serving_decisions_test.cpp
@@ -0,0 +1,187 @@
+#include "serving/event_splitter.h"
+#include "serving/next_attempt.h"
+#include "serving/retry_share.h"
+#include "serving/route_index.h"
+#include "serving/runner_listing.h"
+#include "serving/serving_configuration.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <vector>
+
+namespace sardinelb::test {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+time_point at(milliseconds time)
+{
+    return time_point(time);
+}
+
+listed_runner runnerAt(const std::string& id, const std::string& address, std::uint64_t startedAtMs)
+{
+    listed_runner runner;
+    runner.id = runner_id(id);
+    runner.pool = pool_id("p");
+    runner.address = address;
+    runner.startedAtMs = startedAtMs;
+    return runner;
+}
+
+}
+
+class next_attempt_decision : public testing::Test {
+protected:
+    failed_attempt_facts facts(repeat_rule repeat, attempt_failure failure, bool mayHaveRun)
+    {
+        failed_attempt_facts result;
+        result.repeat = repeat;
+        result.failure = failure;
+        result.mayHaveRun = mayHaveRun;
+        result.attemptsSent = mayHaveRun ? 1 : 0;
+        result.maxAttempts = 2;
+        result.retryAllowed = true;
+        result.timeLeft = seconds(1);
+        return result;
+    }
+};
+
+// Guards against a second run of what may run once, for every way in which an attempt can fail.
+TEST_F(next_attempt_decision, requestThatRunsOnce_mayHaveRun_neverSentAgainNorCalledNotRun)
+{
+    for (const auto failure : { attempt_failure::NotConnected, attempt_failure::Rejected, attempt_failure::OutcomeUnknown, attempt_failure::ServerError, attempt_failure::WrongRunner }) {
+        for (const auto repeat : { repeat_rule::AtMostOnce, repeat_rule::SingleStream }) {
+            const next_step next = decideNextStep(facts(repeat, failure, true));
+            EXPECT_NE(next, next_step::TryAnother);
+            EXPECT_NE(next, next_step::RefuseNotRun);
+        }
+    }
+}
+
+TEST_F(next_attempt_decision, requestThatRunsOnce_surelyNotRun_sentToAnotherRunner)
+{
+    EXPECT_EQ(decideNextStep(facts(repeat_rule::AtMostOnce, attempt_failure::Rejected, false)), next_step::TryAnother);
+    EXPECT_EQ(decideNextStep(facts(repeat_rule::AtMostOnce, attempt_failure::NotConnected, false)), next_step::TryAnother);
+}
+
+TEST_F(next_attempt_decision, idempotentRequest_allowanceUsedUp_failsAsUnknown)
+{
+    auto given = facts(repeat_rule::Idempotent, attempt_failure::OutcomeUnknown, true);
+    given.retryAllowed = false;
+    EXPECT_EQ(decideNextStep(given), next_step::FailUnknown);
+}
+
+TEST_F(next_attempt_decision, stream_attemptsUsedUpAfterBeginning_brokenOff)
+{
+    auto given = facts(repeat_rule::ResumableStream, attempt_failure::OutcomeUnknown, true);
+    given.answerStarted = true;
+    EXPECT_EQ(decideNextStep(given), next_step::TryAnother);
+    given.attemptsSent = 2;
+    EXPECT_EQ(decideNextStep(given), next_step::BreakOff);
+}
+
+class retry_share_window : public testing::Test { };
+
+// Guards against entries that together send more retries than the platform allows in any window.
+TEST_F(retry_share_window, fourEntries_allRunnersFail_sumStaysWithinTheAllowance)
+{
+    const retry_share::settings settings { 0.2, 88, seconds(10) };
+    std::vector<retry_share> entries(4, retry_share(settings, at(seconds(0))));
+    std::vector<milliseconds> retries;
+    std::vector<milliseconds> requests;
+    for (milliseconds now { 0 }; now < seconds(40); now += milliseconds(10)) {
+        // Entries are replaced in turn and know nothing of their predecessors.
+        if (now.count() % 3000 == 0)
+            entries[static_cast<std::size_t>(now.count() / 3000) % entries.size()] = retry_share(settings, at(now));
+        for (std::size_t i = 0; i < entries.size(); ++i) {
+            entries[i].requestArrived(at(now));
+            requests.push_back(now);
+            if (entries[i].covers(entries.size(), at(now))) {
+                entries[i].spend(at(now));
+                retries.push_back(now);
+            }
+        }
+        const auto inWindow = [&](const std::vector<milliseconds>& times) {
+            return static_cast<double>(std::count_if(times.begin(), times.end(), [&](milliseconds time) { return time > now - seconds(10); }));
+        };
+        ASSERT_LE(inWindow(retries), settings.ratio * inWindow(requests) + settings.slack);
+    }
+}
+
+class event_split : public testing::Test { };
+
+// Guards against events that are torn or taken twice, wherever the bytes are cut.
+TEST_F(event_split, stream_cutAtEveryByte_wholeEventsOnlyAndTheLastId)
+{
+    const std::string stream = "weight-versions: 3\nid: 7\ndata: a\n\nid: 8\r\ndata: b\r\n\r\nid: 9\ndata: c";
+    for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
+        event_splitter splitter;
+        splitter.add(std::string_view(stream).substr(0, cut));
+        std::string taken = splitter.takeEvents();
+        splitter.add(std::string_view(stream).substr(cut));
+        taken += splitter.takeEvents();
+        EXPECT_EQ(taken, stream.substr(0, stream.find("id: 9")));
+        EXPECT_EQ(splitter.lastEventId(), "8");
+        EXPECT_EQ(splitter.eventCount(), 2U);
+        EXPECT_TRUE(splitter.hasPartialEvent());
+    }
+}
+
+class route_lookup : public testing::Test { };
+
+TEST_F(route_lookup, host_severalPrefixes_longestWins)
+{
+    auto configuration = std::make_shared<serving_configuration>();
+    for (const char* prefix : { "/a/", "/a/b/", "/" }) {
+        traffic_route route;
+        route.host = "H.example";
+        route.pathPrefix = prefix;
+        configuration->routes.push_back(route);
+    }
+    const route_index index(configuration);
+    EXPECT_EQ(index.find("h.example:80", "/a/b/c")->pathPrefix, "/a/b/");
+    EXPECT_EQ(index.find("h.example", "/a/bc")->pathPrefix, "/a/");
+    EXPECT_EQ(index.find("h.example", "/x?y=/a/b/")->pathPrefix, "/");
+    EXPECT_EQ(index.find("other", "/a/"), nullptr);
+}
+
+class runner_list : public testing::Test { };
+
+// Guards against losing all runners when their entries lapse while the store is away.
+TEST_F(runner_list, entries_lapsedWhileStoreWasAway_keptUntilTheyCouldReturn)
+{
+    runner_listing listing;
+    listing.apply({ { runner_id("r1"), runnerAt("r1", "a:1", 1) }, { runner_id("r2"), runnerAt("r2", "a:2", 1) } }, true, at(seconds(1)));
+    listing.storeReachable(false, at(seconds(2)));
+    listing.storeReachable(true, at(seconds(8)));
+    listing.apply({}, true, at(seconds(8)));
+    EXPECT_EQ(listing.runners(at(seconds(9))).size(), 2U);
+    listing.apply({ { runner_id("r1"), runnerAt("r1", "a:1", 1) } }, false, at(seconds(9)));
+    const auto left = listing.runners(at(milliseconds(10200)));
+    ASSERT_EQ(left.size(), 1U);
+    EXPECT_EQ(left.front().id, runner_id("r1"));
+}
+
+TEST_F(runner_list, entry_removedWhileStoreIsThere_goneAtOnce)
+{
+    runner_listing listing;
+    listing.apply({ { runner_id("r1"), runnerAt("r1", "a:1", 1) } }, true, at(seconds(1)));
+    listing.apply({ { runner_id("r1"), std::nullopt } }, false, at(seconds(2)));
+    EXPECT_TRUE(listing.runners(at(seconds(2))).empty());
+}
+
+// Guards against requests to the entry of a crashed process, whose address the new process has (421).
+TEST_F(runner_list, address_listedForOldAndNewProcess_newOneIsUsed)
+{
+    runner_listing listing;
+    listing.apply({ { runner_id("old"), runnerAt("old", "a:1", 100) }, { runner_id("new"), runnerAt("new", "a:1", 200) } }, true, at(seconds(1)));
+    const auto runners = listing.runners(at(seconds(1)));
+    ASSERT_EQ(runners.size(), 1U);
+    EXPECT_EQ(runners.front().id, runner_id("new"));
+}
+
+}
