--- a/serving/retry_share.cpp
+++ b/serving/retry_share.cpp
@@ -9,6 +9,9 @@
 // The rest is kept for entries that start or that others have not heard of yet.
 constexpr double usedPartOfSlack = 0.7;
 
+// Twenty entries that start in one window still stay within the rest.
+constexpr double partOfNewEntry = 1.0 / 64;
+
 }
 
 retry_share::retry_share(settings values, time_point startedAt)
@@ -27,7 +30,8 @@
 {
     forget(now);
     const bool isNew = now - m_startedAt < m_settings.window;
-    const double slack = isNew ? 0 : m_settings.slack * usedPartOfSlack / static_cast<double>(std::max<std::size_t>(entriesAlive, 1));
+    const double part = isNew ? partOfNewEntry : usedPartOfSlack / static_cast<double>(std::max<std::size_t>(entriesAlive, 1));
+    const double slack = m_settings.slack * part;
     const double allowed = m_settings.ratio * static_cast<double>(m_requests.size()) + slack;
     return static_cast<double>(m_retries.size()) + 1 <= allowed;
 }
--- a/serving/retry_share.h
+++ b/serving/retry_share.h
@@ -18,8 +18,8 @@
         duration window = std::chrono::seconds(10);
     };
 
-    // A process that starts does not know what its predecessor spent, nor how many entries there are; it takes none of the
-    // slack in its first window.
+    // A process that starts does not know what its predecessor spent, nor how many entries there are; it takes hardly
+    // any of the slack in its first window.
     retry_share(settings, time_point startedAt);
 
     void requestArrived(time_point now);
