--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -2,8 +2,8 @@
 // time per request at an entry and at an agent, state per limited team, and the size of the frames that control takes.
 // Processor times are wall-clock times of one thread and depend on the machine.
 
-#include "coordination/agent_core.h"
-#include "coordination/entry_core.h"
+#include "coordination/agent/agent_core.h"
+#include "coordination/entry/entry_core.h"
 #include "protocol/frame_codec.h"
 #include "state/name_index.h"
 #include "state/snapshot_json.h"
--- a/bench/expert_map.cpp
+++ b/bench/expert_map.cpp
@@ -1,8 +1,8 @@
 #include "bench/bench_line.h"
 #include "bench/drifting_popularity.h"
-#include "coordination/map_balance.h"
-#include "coordination/map_planner.h"
-#include "coordination/popularity_tracker.h"
+#include "coordination/maps/map_balance.h"
+#include "coordination/maps/map_planner.h"
+#include "coordination/maps/popularity_tracker.h"
 
 #include <algorithm>
 #include <chrono>
--- a/bench/group_simulation.h
+++ b/bench/group_simulation.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "coordination/map_balance.h"
-#include "coordination/map_planner.h"
-#include "coordination/map_rows.h"
-#include "coordination/map_switch_coordinator.h"
-#include "coordination/map_switch_rank.h"
-#include "coordination/popularity_tracker.h"
-#include "coordination/rank_speed_tracker.h"
+#include "coordination/maps/map_balance.h"
+#include "coordination/maps/map_planner.h"
+#include "coordination/maps/map_rows.h"
+#include "coordination/maps/map_switch_coordinator.h"
+#include "coordination/maps/map_switch_rank.h"
+#include "coordination/maps/popularity_tracker.h"
+#include "coordination/maps/rank_speed_tracker.h"
 #include "tests/stand_ins/memory_table.h"
 #include "tests/stand_ins/virtual_schedule.h"
 
--- a/bench/limit_fleet.h
+++ b/bench/limit_fleet.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "coordination/lease_grant_message.h"
-#include "coordination/lease_request_message.h"
-#include "coordination/limit_owner.h"
-#include "coordination/limit_ownership.h"
-#include "coordination/limit_shard.h"
-#include "coordination/token_account.h"
+#include "coordination/limits/limit_owner.h"
+#include "coordination/limits/limit_ownership.h"
+#include "coordination/limits/limit_shard.h"
+#include "coordination/limits/token_account.h"
+#include "coordination/messages/lease_grant_message.h"
+#include "coordination/messages/lease_request_message.h"
 #include "state/derived_limits.h"
 #include "state/ids.h"
 #include "state/time.h"
--- a/bench/limit_workload.h
+++ b/bench/limit_workload.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "coordination/limit_bucket.h"
-#include "coordination/limit_share.h"
-#include "coordination/request_cost.h"
-#include "coordination/token_usage.h"
+#include "coordination/limits/limit_bucket.h"
+#include "coordination/limits/limit_share.h"
+#include "coordination/queueing/request_cost.h"
+#include "coordination/queueing/token_usage.h"
 #include "state/contract.h"
 #include "state/derived_limits.h"
 #include "state/ids.h"
--- a/bench/limits.cpp
+++ b/bench/limits.cpp
@@ -1,7 +1,7 @@
 #include "bench/limit_fleet.h"
 #include "bench/limit_workload.h"
-#include "coordination/limit_bucket.h"
-#include "coordination/limit_share.h"
+#include "coordination/limits/limit_bucket.h"
+#include "coordination/limits/limit_share.h"
 
 #include <nlohmann/json.hpp>
 
--- a/bench/model/baseline_router.h
+++ b/bench/model/baseline_router.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "coordination/load_report.h"
-#include "coordination/runner_view.h"
+#include "coordination/routing/load_report.h"
+#include "coordination/routing/runner_view.h"
 #include "state/ids.h"
 #include "state/time.h"
 
--- a/bench/model/fleet_model.cpp
+++ b/bench/model/fleet_model.cpp
@@ -2,7 +2,7 @@
 
 #include "bench/model/runner_names.h"
 
-#include "coordination/token_usage.h"
+#include "coordination/queueing/token_usage.h"
 
 #include <algorithm>
 #include <string>
--- a/bench/model/fleet_model.h
+++ b/bench/model/fleet_model.h
@@ -5,9 +5,9 @@
 #include "bench/model/fleet_shape.h"
 #include "bench/model/model_request.h"
 #include "bench/model/policy.h"
-#include "coordination/cost_estimator.h"
-#include "coordination/load_report.h"
-#include "coordination/runner_view.h"
+#include "coordination/queueing/cost_estimator.h"
+#include "coordination/routing/load_report.h"
+#include "coordination/routing/runner_view.h"
 #include "state/time.h"
 
 #include <cstddef>
--- a/bench/model/policy.cpp
+++ b/bench/model/policy.cpp
@@ -2,8 +2,8 @@
 
 #include "bench/model/baseline_router.h"
 #include "bench/model/fifo_queue.h"
-#include "coordination/request_queue.h"
-#include "coordination/router.h"
+#include "coordination/queueing/request_queue.h"
+#include "coordination/routing/router.h"
 
 #include <limits>
 #include <memory>
--- a/bench/model/policy.h
+++ b/bench/model/policy.h
@@ -3,7 +3,7 @@
 #include "bench/model/fleet_shape.h"
 #include "bench/model/queue_hooks.h"
 #include "bench/model/router_hooks.h"
-#include "coordination/runner_view.h"
+#include "coordination/routing/runner_view.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/bench/model/queue_hooks.h
+++ b/bench/model/queue_hooks.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "coordination/attempt_id.h"
-#include "coordination/queue_action.h"
-#include "coordination/queued_request.h"
+#include "coordination/queueing/queue_action.h"
+#include "coordination/queueing/queued_request.h"
 #include "coordination/refusal_reason.h"
 #include "state/time.h"
 #include "state/units.h"
--- a/bench/model/router_hooks.h
+++ b/bench/model/router_hooks.h
@@ -2,9 +2,9 @@
 
 #include "coordination/attempt_id.h"
 #include "coordination/execution_outcome.h"
-#include "coordination/load_report.h"
-#include "coordination/request_cost.h"
-#include "coordination/route_request.h"
+#include "coordination/queueing/request_cost.h"
+#include "coordination/routing/load_report.h"
+#include "coordination/routing/route_request.h"
 #include "state/ids.h"
 #include "state/time.h"
 
--- a/bench/spread_fleet/fleet_settings.h
+++ b/bench/spread_fleet/fleet_settings.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/config_spread_settings.h"
+#include "coordination/spread/config_spread_settings.h"
 #include "state/ids.h"
 #include "state/time.h"
 
--- a/bench/spread_fleet/spread_fleet.cpp
+++ b/bench/spread_fleet/spread_fleet.cpp
@@ -1,6 +1,6 @@
 #include "bench/spread_fleet/spread_fleet.h"
 
-#include "coordination/majority.h"
+#include "coordination/spread/majority.h"
 #include "state/entity_json.h"
 #include "state/snapshot_json.h"
 
--- a/bench/spread_fleet/virtual_daemon.h
+++ b/bench/spread_fleet/virtual_daemon.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/config_spread.h"
+#include "coordination/spread/config_spread.h"
 #include "state/ids.h"
 
 #include <cstddef>
--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -1,7 +1,7 @@
-# sardinelb_package(NAME [libraries...]) builds every source of the current folder as the library
-# sardinelb_NAME.
+# sardinelb_package(NAME [libraries...]) builds every source of the current folder and the folders in it as the
+# library sardinelb_NAME.
 function(sardinelb_package name)
-  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
+  file(GLOB_RECURSE sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
   add_library(sardinelb_${name} STATIC ${sources})
   target_include_directories(sardinelb_${name} PUBLIC ${CMAKE_SOURCE_DIR})
   target_link_libraries(sardinelb_${name} PUBLIC ${ARGN})
--- a/coordination/agent_action.h
+++ b/coordination/agent/agent_action.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "coordination/hold_call_action.h"
+#include "coordination/agent/start_call_action.h"
+#include "coordination/agent/stop_call_action.h"
+#include "coordination/claims/hold_call_action.h"
 #include "coordination/log_action.h"
-#include "coordination/send_to_peer_action.h"
-#include "coordination/start_call_action.h"
-#include "coordination/stop_call_action.h"
+#include "coordination/messages/send_to_peer_action.h"
 
 #include <variant>
 
--- a/coordination/agent_settings.h
+++ b/coordination/agent/agent_settings.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/queue_settings.h"
+#include "coordination/queueing/queue_settings.h"
 #include "state/ids.h"
 
 namespace sardinelb {
--- a/coordination/attempt_ledger.cpp
+++ b/coordination/agent/attempt_ledger.cpp
@@ -1,4 +1,4 @@
-#include "coordination/attempt_ledger.h"
+#include "coordination/agent/attempt_ledger.h"
 
 #include <algorithm>
 #include <chrono>
--- a/coordination/attempt_ledger.h
+++ b/coordination/agent/attempt_ledger.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "coordination/agent/attempt_record.h"
 #include "coordination/attempt_id.h"
-#include "coordination/attempt_record.h"
 #include "state/time.h"
 
 #include <cstddef>
--- a/coordination/attempt_order.cpp
+++ b/coordination/agent/attempt_order.cpp
@@ -1,7 +1,7 @@
-#include "coordination/attempt_order.h"
+#include "coordination/agent/attempt_order.h"
 
-#include "coordination/team_share.h"
-#include "coordination/tracked_attempt.h"
+#include "coordination/entry/tracked_attempt.h"
+#include "coordination/queueing/team_share.h"
 
 #include <algorithm>
 #include <chrono>
--- a/coordination/attempt_record.h
+++ b/coordination/agent/attempt_record.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "coordination/attempt_stage.h"
-#include "coordination/chunk_message.h"
-#include "coordination/finish_message.h"
-#include "coordination/submit_message.h"
+#include "coordination/agent/attempt_stage.h"
+#include "coordination/messages/chunk_message.h"
+#include "coordination/messages/finish_message.h"
+#include "coordination/messages/submit_message.h"
 #include "state/ids.h"
 #include "state/time.h"
 
--- a/coordination/attempt_table.cpp
+++ b/coordination/agent/attempt_table.cpp
@@ -1,4 +1,4 @@
-#include "coordination/attempt_table.h"
+#include "coordination/agent/attempt_table.h"
 
 namespace sardinelb {
 
--- a/coordination/attempt_table.h
+++ b/coordination/agent/attempt_table.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/tracked_attempt.h"
+#include "coordination/entry/tracked_attempt.h"
 #include "state/time.h"
 
 #include <cstdint>
--- a/coordination/runner_answer.h
+++ b/coordination/agent/runner_answer.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/runner_state.h"
+#include "coordination/agent/runner_state.h"
 #include "state/ids.h"
 
 #include <cstdint>
--- a/coordination/start_call_action.h
+++ b/coordination/agent/start_call_action.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/submit_message.h"
+#include "coordination/messages/submit_message.h"
 
 #include <cstdint>
 
--- a/coordination/claim_record.cpp
+++ b/coordination/claims/claim_record.cpp
@@ -1,4 +1,4 @@
-#include "coordination/claim_record.h"
+#include "coordination/claims/claim_record.h"
 
 #include <nlohmann/json.hpp>
 
--- a/coordination/claim_refusal.cpp
+++ b/coordination/claims/claim_refusal.cpp
@@ -1,6 +1,6 @@
-#include "coordination/claim_refusal.h"
+#include "coordination/claims/claim_refusal.h"
 
-#include "coordination/claim_result.h"
+#include "coordination/claims/claim_result.h"
 
 #include <chrono>
 #include <string>
--- a/coordination/claim_refusal.h
+++ b/coordination/claims/claim_refusal.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/caller_error.h"
+#include "coordination/entry/caller_error.h"
 
 namespace sardinelb {
 
--- a/coordination/claim_result.cpp
+++ b/coordination/claims/claim_result.cpp
@@ -1,4 +1,4 @@
-#include "coordination/claim_result.h"
+#include "coordination/claims/claim_result.h"
 
 namespace sardinelb {
 
--- a/coordination/claim_result.h
+++ b/coordination/claims/claim_result.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/claim_record.h"
+#include "coordination/claims/claim_record.h"
 #include "state/ids.h"
 
 namespace sardinelb {
--- a/coordination/idempotency_claims.cpp
+++ b/coordination/claims/idempotency_claims.cpp
@@ -1,4 +1,4 @@
-#include "coordination/idempotency_claims.h"
+#include "coordination/claims/idempotency_claims.h"
 
 #include <algorithm>
 #include <chrono>
--- a/coordination/idempotency_claims.h
+++ b/coordination/claims/idempotency_claims.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "coordination/claim_read.h"
-#include "coordination/claim_result.h"
-#include "coordination/claim_transaction.h"
+#include "coordination/claims/claim_read.h"
+#include "coordination/claims/claim_result.h"
+#include "coordination/claims/claim_transaction.h"
 #include "coordination/execution_outcome.h"
 #include "state/ids.h"
 #include "state/state_error.h"
--- a/coordination/answer_end_action.h
+++ b/coordination/entry/answer_end_action.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/token_usage.h"
+#include "coordination/queueing/token_usage.h"
 #include "state/ids.h"
 
 #include <string>
--- a/coordination/entry_action.h
+++ b/coordination/entry/entry_action.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "coordination/answer_end_action.h"
-#include "coordination/answer_error_action.h"
-#include "coordination/answer_part_action.h"
-#include "coordination/claim_read.h"
-#include "coordination/claim_transaction.h"
+#include "coordination/claims/claim_read.h"
+#include "coordination/claims/claim_transaction.h"
+#include "coordination/entry/answer_end_action.h"
+#include "coordination/entry/answer_error_action.h"
+#include "coordination/entry/answer_part_action.h"
 #include "coordination/log_action.h"
-#include "coordination/send_to_peer_action.h"
+#include "coordination/messages/send_to_peer_action.h"
 
 #include <variant>
 
--- a/coordination/entry_core.cpp
+++ b/coordination/entry/entry_core.cpp
@@ -1,6 +1,6 @@
-#include "coordination/entry_core.h"
+#include "coordination/entry/entry_core.h"
 
-#include "coordination/claim_refusal.h"
+#include "coordination/claims/claim_refusal.h"
 #include "state/name_digest.h"
 
 #include <algorithm>
--- a/coordination/entry_settings.h
+++ b/coordination/entry/entry_settings.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/router_settings.h"
+#include "coordination/routing/router_settings.h"
 #include "state/time.h"
 
 #include <chrono>
--- a/coordination/request_state.h
+++ b/coordination/entry/request_state.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "coordination/caller_error.h"
-#include "coordination/caller_request.h"
-#include "coordination/request_stage.h"
+#include "coordination/entry/caller_error.h"
+#include "coordination/entry/caller_request.h"
+#include "coordination/entry/request_stage.h"
 #include "state/ids.h"
 #include "state/time.h"
 
--- a/coordination/retry_decision.cpp
+++ b/coordination/entry/retry_decision.cpp
@@ -1,4 +1,4 @@
-#include "coordination/retry_decision.h"
+#include "coordination/entry/retry_decision.h"
 
 namespace sardinelb {
 
--- a/coordination/retry_policy.cpp
+++ b/coordination/entry/retry_policy.cpp
@@ -1,6 +1,6 @@
-#include "coordination/retry_policy.h"
+#include "coordination/entry/retry_policy.h"
 
-#include "coordination/retry_budget.h"
+#include "coordination/entry/retry_budget.h"
 #include "state/derived_limits.h"
 
 #include <algorithm>
--- a/coordination/retry_policy.h
+++ b/coordination/entry/retry_policy.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "coordination/failed_attempt.h"
-#include "coordination/retry_decision.h"
+#include "coordination/entry/failed_attempt.h"
+#include "coordination/entry/retry_decision.h"
 #include "state/ids.h"
 #include "state/time.h"
 
--- a/coordination/tracked_attempt.cpp
+++ b/coordination/entry/tracked_attempt.cpp
@@ -1,6 +1,6 @@
-#include "coordination/tracked_attempt.h"
+#include "coordination/entry/tracked_attempt.h"
 
-#include "coordination/team_share.h"
+#include "coordination/queueing/team_share.h"
 
 #include <algorithm>
 #include <cmath>
--- a/coordination/tracked_attempt.h
+++ b/coordination/entry/tracked_attempt.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/queued_request.h"
+#include "coordination/queueing/queued_request.h"
 #include "state/time.h"
 
 #include <cstdint>
--- a/coordination/gate_action.h
+++ b/coordination/leases/gate_action.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "coordination/agent/runner_call.h"
 #include "coordination/log_action.h"
-#include "coordination/runner_call.h"
 #include "coordination/table_call.h"
 
 #include <variant>
--- a/coordination/lease.cpp
+++ b/coordination/leases/lease.cpp
@@ -1,4 +1,4 @@
-#include "coordination/lease.h"
+#include "coordination/leases/lease.h"
 
 #include <algorithm>
 #include <utility>
--- a/coordination/lease.h
+++ b/coordination/leases/lease.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "coordination/lease_row.h"
-#include "coordination/lease_timing.h"
-#include "coordination/lease_view.h"
+#include "coordination/leases/lease_row.h"
+#include "coordination/leases/lease_timing.h"
+#include "coordination/leases/lease_view.h"
 #include "coordination/table_answer.h"
 #include "coordination/table_call.h"
 #include "state/ids.h"
--- a/coordination/lease_row.cpp
+++ b/coordination/leases/lease_row.cpp
@@ -1,4 +1,4 @@
-#include "coordination/lease_row.h"
+#include "coordination/leases/lease_row.h"
 
 #include <nlohmann/json.hpp>
 
--- a/coordination/lease_verdict.cpp
+++ b/coordination/leases/lease_verdict.cpp
@@ -1,4 +1,4 @@
-#include "coordination/lease_verdict.h"
+#include "coordination/leases/lease_verdict.h"
 
 namespace sardinelb {
 
--- a/coordination/order_action.h
+++ b/coordination/leases/order_action.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "coordination/log_action.h"
-#include "coordination/order_message.h"
+#include "coordination/messages/order_message.h"
 #include "coordination/table_call.h"
 
 #include <variant>
--- a/coordination/order_executor.cpp
+++ b/coordination/leases/order_executor.cpp
@@ -1,6 +1,6 @@
-#include "coordination/order_executor.h"
+#include "coordination/leases/order_executor.h"
 
-#include "coordination/order_row.h"
+#include "coordination/leases/order_row.h"
 
 #include <utility>
 
--- a/coordination/order_executor.h
+++ b/coordination/leases/order_executor.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "coordination/lease_view.h"
-#include "coordination/order_action.h"
-#include "coordination/order_command.h"
-#include "coordination/order_timing.h"
-#include "coordination/runner_order.h"
+#include "coordination/leases/lease_view.h"
+#include "coordination/leases/order_action.h"
+#include "coordination/leases/order_command.h"
+#include "coordination/leases/order_timing.h"
+#include "coordination/leases/runner_order.h"
 #include "coordination/table_answer.h"
 #include "state/ids.h"
 #include "state/time.h"
--- a/coordination/order_gate.cpp
+++ b/coordination/leases/order_gate.cpp
@@ -1,6 +1,6 @@
-#include "coordination/order_gate.h"
+#include "coordination/leases/order_gate.h"
 
-#include "coordination/order_row.h"
+#include "coordination/leases/order_row.h"
 
 #include <algorithm>
 #include <utility>
--- a/coordination/order_gate.h
+++ b/coordination/leases/order_gate.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "coordination/gate_action.h"
-#include "coordination/order_message.h"
-#include "coordination/order_timing.h"
-#include "coordination/runner_answer.h"
-#include "coordination/runner_order.h"
+#include "coordination/agent/runner_answer.h"
+#include "coordination/leases/gate_action.h"
+#include "coordination/leases/order_timing.h"
+#include "coordination/leases/runner_order.h"
+#include "coordination/messages/order_message.h"
 #include "coordination/table_answer.h"
 #include "state/ids.h"
 #include "state/time.h"
--- a/coordination/order_kind.cpp
+++ b/coordination/leases/order_kind.cpp
@@ -1,4 +1,4 @@
-#include "coordination/order_kind.h"
+#include "coordination/leases/order_kind.h"
 
 namespace sardinelb {
 
--- a/coordination/order_row.cpp
+++ b/coordination/leases/order_row.cpp
@@ -1,4 +1,4 @@
-#include "coordination/order_row.h"
+#include "coordination/leases/order_row.h"
 
 #include <array>
 #include <nlohmann/json.hpp>
--- a/coordination/order_row.h
+++ b/coordination/leases/order_row.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/runner_order.h"
+#include "coordination/leases/runner_order.h"
 #include "state/ids.h"
 #include "state/table_row.h"
 
--- a/coordination/repair_planner.cpp
+++ b/coordination/leases/repair_planner.cpp
@@ -1,6 +1,6 @@
-#include "coordination/repair_planner.h"
+#include "coordination/leases/repair_planner.h"
 
-#include "coordination/runner_role.h"
+#include "coordination/leases/runner_role.h"
 
 #include <algorithm>
 
--- a/coordination/repair_planner.h
+++ b/coordination/leases/repair_planner.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "coordination/order_command.h"
-#include "coordination/repair_settings.h"
-#include "coordination/runner_observation.h"
+#include "coordination/leases/order_command.h"
+#include "coordination/leases/repair_settings.h"
+#include "coordination/routing/runner_observation.h"
 #include "state/configuration.h"
 #include "state/ids.h"
 #include "state/time.h"
--- a/coordination/runner_order.cpp
+++ b/coordination/leases/runner_order.cpp
@@ -1,4 +1,4 @@
-#include "coordination/runner_order.h"
+#include "coordination/leases/runner_order.h"
 
 namespace sardinelb {
 
--- a/coordination/runner_order.h
+++ b/coordination/leases/runner_order.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/order_kind.h"
+#include "coordination/leases/order_kind.h"
 #include "state/ids.h"
 
 #include <cstdint>
--- a/coordination/shard_lease.cpp
+++ b/coordination/leases/shard_lease.cpp
@@ -1,7 +1,7 @@
-#include "coordination/shard_lease.h"
+#include "coordination/leases/shard_lease.h"
 
-#include "coordination/lease_grant_message.h"
-#include "coordination/lease_settings.h"
+#include "coordination/leases/lease_settings.h"
+#include "coordination/messages/lease_grant_message.h"
 
 #include <algorithm>
 #include <cmath>
--- a/coordination/shard_lease.h
+++ b/coordination/leases/shard_lease.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "coordination/decaying_amount.h"
-#include "coordination/lease_request_message.h"
-#include "coordination/limit_amount.h"
-#include "coordination/limit_bucket.h"
-#include "coordination/limit_share.h"
+#include "coordination/limits/limit_amount.h"
+#include "coordination/limits/limit_bucket.h"
+#include "coordination/limits/limit_share.h"
+#include "coordination/messages/lease_request_message.h"
+#include "coordination/queueing/decaying_amount.h"
 #include "state/ids.h"
 #include "state/time.h"
 
--- a/coordination/entry_limits.cpp
+++ b/coordination/limits/entry_limits.cpp
@@ -1,7 +1,7 @@
-#include "coordination/entry_limits.h"
+#include "coordination/limits/entry_limits.h"
 
-#include "coordination/limit_ownership.h"
-#include "coordination/limit_shard.h"
+#include "coordination/limits/limit_ownership.h"
+#include "coordination/limits/limit_shard.h"
 
 #include <chrono>
 #include <utility>
--- a/coordination/limit_bucket.cpp
+++ b/coordination/limits/limit_bucket.cpp
@@ -1,4 +1,4 @@
-#include "coordination/limit_bucket.h"
+#include "coordination/limits/limit_bucket.h"
 
 #include <algorithm>
 
--- a/coordination/limit_bucket.h
+++ b/coordination/limits/limit_bucket.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "coordination/limit_amount.h"
-#include "coordination/limit_share.h"
+#include "coordination/limits/limit_amount.h"
+#include "coordination/limits/limit_share.h"
 #include "state/time.h"
 
 namespace sardinelb {
--- a/coordination/limit_owner.cpp
+++ b/coordination/limits/limit_owner.cpp
@@ -1,10 +1,10 @@
-#include "coordination/limit_owner.h"
+#include "coordination/limits/limit_owner.h"
 
-#include "coordination/lease_settings.h"
-#include "coordination/limit_bucket.h"
-#include "coordination/limit_shard.h"
-#include "coordination/limit_share.h"
-#include "coordination/ownership_history.h"
+#include "coordination/leases/lease_settings.h"
+#include "coordination/limits/limit_bucket.h"
+#include "coordination/limits/limit_shard.h"
+#include "coordination/limits/limit_share.h"
+#include "coordination/limits/ownership_history.h"
 #include "state/derived_limits.h"
 
 #include <algorithm>
--- a/coordination/limit_owner.h
+++ b/coordination/limits/limit_owner.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "coordination/lease_grant_message.h"
-#include "coordination/lease_request_message.h"
-#include "coordination/limit_handover_message.h"
+#include "coordination/messages/lease_grant_message.h"
+#include "coordination/messages/lease_request_message.h"
+#include "coordination/messages/limit_handover_message.h"
 #include "state/ids.h"
 #include "state/time.h"
 
--- a/coordination/limit_ownership.cpp
+++ b/coordination/limits/limit_ownership.cpp
@@ -1,6 +1,6 @@
-#include "coordination/limit_ownership.h"
+#include "coordination/limits/limit_ownership.h"
 
-#include "coordination/limit_shard.h"
+#include "coordination/limits/limit_shard.h"
 #include "state/name_digest.h"
 
 #include <cstdint>
--- a/coordination/limit_share.cpp
+++ b/coordination/limits/limit_share.cpp
@@ -1,4 +1,4 @@
-#include "coordination/limit_share.h"
+#include "coordination/limits/limit_share.h"
 
 #include "state/derived_limits.h"
 
--- a/coordination/ownership_history.cpp
+++ b/coordination/limits/ownership_history.cpp
@@ -1,7 +1,7 @@
-#include "coordination/ownership_history.h"
+#include "coordination/limits/ownership_history.h"
 
-#include "coordination/limit_ownership.h"
-#include "coordination/limit_share.h"
+#include "coordination/limits/limit_ownership.h"
+#include "coordination/limits/limit_share.h"
 
 namespace sardinelb {
 
--- a/coordination/ownership_history.h
+++ b/coordination/limits/ownership_history.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "coordination/daemon_list_change.h"
-#include "coordination/limit_shard.h"
+#include "coordination/limits/limit_shard.h"
+#include "coordination/membership/daemon_list_change.h"
 #include "state/ids.h"
 #include "state/time.h"
 
--- a/coordination/token_account.h
+++ b/coordination/limits/token_account.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "coordination/coordination_error.h"
-#include "coordination/request_cost.h"
-#include "coordination/token_usage.h"
+#include "coordination/queueing/request_cost.h"
+#include "coordination/queueing/token_usage.h"
 #include "state/ids.h"
 #include "state/time.h"
 
--- a/coordination/initial_map.cpp
+++ b/coordination/maps/initial_map.cpp
@@ -1,6 +1,6 @@
-#include "coordination/initial_map.h"
+#include "coordination/maps/initial_map.h"
 
-#include "coordination/expert_map.h"
+#include "coordination/maps/expert_map.h"
 
 #include <algorithm>
 #include <functional>
--- a/coordination/map_balance.cpp
+++ b/coordination/maps/map_balance.cpp
@@ -1,6 +1,6 @@
-#include "coordination/map_balance.h"
+#include "coordination/maps/map_balance.h"
 
-#include "coordination/expert_map.h"
+#include "coordination/maps/expert_map.h"
 
 #include <algorithm>
 #include <cmath>
--- a/coordination/map_decision.h
+++ b/coordination/maps/map_decision.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/map_outcome.h"
+#include "coordination/maps/map_outcome.h"
 #include "state/ids.h"
 
 namespace sardinelb {
--- a/coordination/map_history_reader.cpp
+++ b/coordination/maps/map_history_reader.cpp
@@ -1,7 +1,7 @@
-#include "coordination/map_history_reader.h"
+#include "coordination/maps/map_history_reader.h"
 
-#include "coordination/map_history.h"
-#include "coordination/map_rows.h"
+#include "coordination/maps/map_history.h"
+#include "coordination/maps/map_rows.h"
 
 #include <boost/outcome/try.hpp>
 
--- a/coordination/map_history_reader.h
+++ b/coordination/maps/map_history_reader.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "coordination/coordination_error.h"
-#include "coordination/map_table_request.h"
+#include "coordination/maps/map_table_request.h"
 #include "state/ids.h"
 #include "state/table_row.h"
 
--- a/coordination/map_outcome.cpp
+++ b/coordination/maps/map_outcome.cpp
@@ -1,4 +1,4 @@
-#include "coordination/map_outcome.h"
+#include "coordination/maps/map_outcome.h"
 
 namespace sardinelb {
 
--- a/coordination/map_planner.cpp
+++ b/coordination/maps/map_planner.cpp
@@ -1,9 +1,9 @@
-#include "coordination/map_planner.h"
+#include "coordination/maps/map_planner.h"
 
-#include "coordination/initial_map.h"
-#include "coordination/map_balance.h"
-#include "coordination/placement_search.h"
-#include "coordination/replica_placement.h"
+#include "coordination/maps/initial_map.h"
+#include "coordination/maps/map_balance.h"
+#include "coordination/maps/placement_search.h"
+#include "coordination/maps/replica_placement.h"
 
 #include <algorithm>
 #include <cmath>
--- a/coordination/map_planner.h
+++ b/coordination/maps/map_planner.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "coordination/coordination_error.h"
-#include "coordination/map_plan.h"
-#include "coordination/map_plan_request.h"
-#include "coordination/map_planner_settings.h"
+#include "coordination/maps/map_plan.h"
+#include "coordination/maps/map_plan_request.h"
+#include "coordination/maps/map_planner_settings.h"
 
 #include <optional>
 
--- a/coordination/map_rows.h
+++ b/coordination/maps/map_rows.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "coordination/coordination_error.h"
-#include "coordination/map_decision.h"
-#include "coordination/map_proposal.h"
+#include "coordination/maps/map_decision.h"
+#include "coordination/maps/map_proposal.h"
 #include "state/ids.h"
 
 #include <optional>
--- a/coordination/map_switch_coordinator.cpp
+++ b/coordination/maps/map_switch_coordinator.cpp
@@ -1,6 +1,6 @@
-#include "coordination/map_switch_coordinator.h"
+#include "coordination/maps/map_switch_coordinator.h"
 
-#include "coordination/map_rows.h"
+#include "coordination/maps/map_rows.h"
 
 #include <boost/outcome/try.hpp>
 
--- a/coordination/map_weights_order.h
+++ b/coordination/maps/map_weights_order.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/expert_map.h"
+#include "coordination/maps/expert_map.h"
 #include "state/ids.h"
 
 #include <memory>
--- a/coordination/placement_search.cpp
+++ b/coordination/maps/placement_search.cpp
@@ -1,4 +1,4 @@
-#include "coordination/placement_search.h"
+#include "coordination/maps/placement_search.h"
 
 #include <algorithm>
 #include <functional>
--- a/coordination/placement_search.h
+++ b/coordination/maps/placement_search.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "coordination/map_planner_settings.h"
-#include "coordination/replica_placement.h"
+#include "coordination/maps/map_planner_settings.h"
+#include "coordination/maps/replica_placement.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/coordination/popularity_tracker.cpp
+++ b/coordination/maps/popularity_tracker.cpp
@@ -1,4 +1,4 @@
-#include "coordination/popularity_tracker.h"
+#include "coordination/maps/popularity_tracker.h"
 
 #include <algorithm>
 #include <cmath>
--- a/coordination/popularity_tracker.h
+++ b/coordination/maps/popularity_tracker.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "coordination/coordination_error.h"
-#include "coordination/popularity_report.h"
+#include "coordination/maps/popularity_report.h"
 #include "state/ids.h"
 #include "state/time.h"
 
--- a/coordination/rank_speed_tracker.cpp
+++ b/coordination/maps/rank_speed_tracker.cpp
@@ -1,4 +1,4 @@
-#include "coordination/rank_speed_tracker.h"
+#include "coordination/maps/rank_speed_tracker.h"
 
 #include <algorithm>
 #include <cmath>
--- a/coordination/replica_placement.cpp
+++ b/coordination/maps/replica_placement.cpp
@@ -1,4 +1,4 @@
-#include "coordination/replica_placement.h"
+#include "coordination/maps/replica_placement.h"
 
 #include <algorithm>
 #include <cmath>
--- a/coordination/daemon_list_change.cpp
+++ b/coordination/membership/daemon_list_change.cpp
@@ -1,7 +1,7 @@
-#include "coordination/daemon_list_change.h"
+#include "coordination/membership/daemon_list_change.h"
 
-#include "coordination/limit_ownership.h"
-#include "coordination/limit_shard.h"
+#include "coordination/limits/limit_ownership.h"
+#include "coordination/limits/limit_shard.h"
 
 #include <algorithm>
 #include <iterator>
--- a/coordination/member_state.cpp
+++ b/coordination/membership/member_state.cpp
@@ -1,4 +1,4 @@
-#include "coordination/member_state.h"
+#include "coordination/membership/member_state.h"
 
 namespace sardinelb {
 
--- a/coordination/member_view.h
+++ b/coordination/membership/member_view.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/member_state.h"
+#include "coordination/membership/member_state.h"
 #include "state/ids.h"
 
 #include <string>
--- a/coordination/membership.cpp
+++ b/coordination/membership/membership.cpp
@@ -1,4 +1,4 @@
-#include "coordination/membership.h"
+#include "coordination/membership/membership.h"
 
 #include <algorithm>
 
--- a/coordination/membership.h
+++ b/coordination/membership/membership.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "coordination/listed_instance.h"
-#include "coordination/member_view.h"
-#include "coordination/membership_settings.h"
+#include "coordination/membership/listed_instance.h"
+#include "coordination/membership/member_view.h"
+#include "coordination/membership/membership_settings.h"
 #include "state/ids.h"
 #include "state/time.h"
 
--- a/coordination/admission_message.h
+++ b/coordination/messages/admission_message.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "coordination/attempt_id.h"
-#include "coordination/load_report.h"
 #include "coordination/refusal_reason.h"
+#include "coordination/routing/load_report.h"
 
 namespace sardinelb {
 
--- a/coordination/finish_message.h
+++ b/coordination/messages/finish_message.h
@@ -2,8 +2,8 @@
 
 #include "coordination/attempt_id.h"
 #include "coordination/execution_outcome.h"
-#include "coordination/load_report.h"
-#include "coordination/token_usage.h"
+#include "coordination/queueing/token_usage.h"
+#include "coordination/routing/load_report.h"
 
 #include <cstdint>
 #include <string>
--- a/coordination/lease_grant_message.h
+++ b/coordination/messages/lease_grant_message.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/lease_verdict.h"
+#include "coordination/leases/lease_verdict.h"
 #include "state/ids.h"
 #include "state/time.h"
 #include "state/units.h"
--- a/coordination/lease_grants_message.h
+++ b/coordination/messages/lease_grants_message.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/lease_grant_message.h"
+#include "coordination/messages/lease_grant_message.h"
 
 #include <vector>
 
--- a/coordination/lease_requests_message.h
+++ b/coordination/messages/lease_requests_message.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/lease_request_message.h"
+#include "coordination/messages/lease_request_message.h"
 
 #include <vector>
 
--- a/coordination/load_update_message.h
+++ b/coordination/messages/load_update_message.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/load_report.h"
+#include "coordination/routing/load_report.h"
 
 namespace sardinelb {
 
--- a/coordination/map_decision_message.h
+++ b/coordination/messages/map_decision_message.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/map_decision.h"
+#include "coordination/maps/map_decision.h"
 #include "state/ids.h"
 
 namespace sardinelb {
--- a/coordination/map_prepared_message.h
+++ b/coordination/messages/map_prepared_message.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/map_readiness.h"
+#include "coordination/maps/map_readiness.h"
 #include "state/ids.h"
 
 namespace sardinelb {
--- a/coordination/submit_message.h
+++ b/coordination/messages/submit_message.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "coordination/attempt_id.h"
-#include "coordination/request_cost.h"
+#include "coordination/queueing/request_cost.h"
 #include "state/ids.h"
 #include "state/pool.h"
 #include "state/service_class.h"
--- a/coordination/cost_estimator.cpp
+++ b/coordination/queueing/cost_estimator.cpp
@@ -1,6 +1,6 @@
-#include "coordination/cost_estimator.h"
+#include "coordination/queueing/cost_estimator.h"
 
-#include "coordination/token_usage.h"
+#include "coordination/queueing/token_usage.h"
 #include "state/name_digest.h"
 
 #include <algorithm>
--- a/coordination/cost_estimator.h
+++ b/coordination/queueing/cost_estimator.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "coordination/recent_map.h"
-#include "coordination/request_cost.h"
+#include "coordination/queueing/recent_map.h"
+#include "coordination/queueing/request_cost.h"
 #include "state/ids.h"
 #include "state/units.h"
 
--- a/coordination/decaying_amount.cpp
+++ b/coordination/queueing/decaying_amount.cpp
@@ -1,4 +1,4 @@
-#include "coordination/decaying_amount.h"
+#include "coordination/queueing/decaying_amount.h"
 
 #include <cmath>
 
--- a/coordination/decaying_amount.h
+++ b/coordination/queueing/decaying_amount.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/limit_amount.h"
+#include "coordination/limits/limit_amount.h"
 #include "state/time.h"
 
 namespace sardinelb {
--- a/coordination/fair_share.cpp
+++ b/coordination/queueing/fair_share.cpp
@@ -1,4 +1,4 @@
-#include "coordination/fair_share.h"
+#include "coordination/queueing/fair_share.h"
 
 #include <algorithm>
 #include <chrono>
--- a/coordination/fair_share.h
+++ b/coordination/queueing/fair_share.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/team_share.h"
+#include "coordination/queueing/team_share.h"
 #include "state/ids.h"
 #include "state/time.h"
 
--- a/coordination/length_profile.cpp
+++ b/coordination/queueing/length_profile.cpp
@@ -1,4 +1,4 @@
-#include "coordination/length_profile.h"
+#include "coordination/queueing/length_profile.h"
 
 #include <algorithm>
 #include <cmath>
--- a/coordination/request_queue.cpp
+++ b/coordination/queueing/request_queue.cpp
@@ -1,12 +1,12 @@
-#include "coordination/request_queue.h"
-
-#include "coordination/attempt_order.h"
-#include "coordination/attempt_table.h"
-#include "coordination/fair_share.h"
-#include "coordination/length_profile.h"
-#include "coordination/slot_policy.h"
-#include "coordination/start_forecast.h"
-#include "coordination/token_pace.h"
+#include "coordination/queueing/request_queue.h"
+
+#include "coordination/agent/attempt_order.h"
+#include "coordination/agent/attempt_table.h"
+#include "coordination/queueing/fair_share.h"
+#include "coordination/queueing/length_profile.h"
+#include "coordination/queueing/slot_policy.h"
+#include "coordination/queueing/start_forecast.h"
+#include "coordination/queueing/token_pace.h"
 
 #include <algorithm>
 #include <cstddef>
--- a/coordination/slot_policy.cpp
+++ b/coordination/queueing/slot_policy.cpp
@@ -1,8 +1,8 @@
-#include "coordination/slot_policy.h"
+#include "coordination/queueing/slot_policy.h"
 
-#include "coordination/attempt_order.h"
-#include "coordination/attempt_table.h"
-#include "coordination/team_share.h"
+#include "coordination/agent/attempt_order.h"
+#include "coordination/agent/attempt_table.h"
+#include "coordination/queueing/team_share.h"
 
 #include <algorithm>
 #include <chrono>
--- a/coordination/start_forecast.cpp
+++ b/coordination/queueing/start_forecast.cpp
@@ -1,4 +1,4 @@
-#include "coordination/start_forecast.h"
+#include "coordination/queueing/start_forecast.h"
 
 namespace sardinelb {
 
--- a/coordination/token_pace.cpp
+++ b/coordination/queueing/token_pace.cpp
@@ -1,4 +1,4 @@
-#include "coordination/token_pace.h"
+#include "coordination/queueing/token_pace.h"
 
 #include <chrono>
 
--- a/coordination/pool_baseline.cpp
+++ b/coordination/routing/pool_baseline.cpp
@@ -1,6 +1,6 @@
-#include "coordination/pool_baseline.h"
+#include "coordination/routing/pool_baseline.h"
 
-#include "coordination/routed_runner.h"
+#include "coordination/routing/routed_runner.h"
 
 #include <algorithm>
 #include <chrono>
--- a/coordination/prefix_hints.cpp
+++ b/coordination/routing/prefix_hints.cpp
@@ -1,4 +1,4 @@
-#include "coordination/prefix_hints.h"
+#include "coordination/routing/prefix_hints.h"
 
 #include <algorithm>
 
--- a/coordination/prefix_hints.h
+++ b/coordination/routing/prefix_hints.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/recent_map.h"
+#include "coordination/queueing/recent_map.h"
 #include "state/ids.h"
 
 #include <cstddef>
--- a/coordination/route_decision.cpp
+++ b/coordination/routing/route_decision.cpp
@@ -1,4 +1,4 @@
-#include "coordination/route_decision.h"
+#include "coordination/routing/route_decision.h"
 
 namespace sardinelb {
 
--- a/coordination/route_request.h
+++ b/coordination/routing/route_request.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/request_cost.h"
+#include "coordination/queueing/request_cost.h"
 #include "state/ids.h"
 
 #include <cstdint>
--- a/coordination/routed_runner.cpp
+++ b/coordination/routing/routed_runner.cpp
@@ -1,4 +1,4 @@
-#include "coordination/routed_runner.h"
+#include "coordination/routing/routed_runner.h"
 
 #include <chrono>
 
--- a/coordination/routed_runner.h
+++ b/coordination/routing/routed_runner.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "coordination/runner_health.h"
-#include "coordination/runner_load.h"
-#include "coordination/runner_view.h"
+#include "coordination/routing/runner_health.h"
+#include "coordination/routing/runner_load.h"
+#include "coordination/routing/runner_view.h"
 #include "state/ids.h"
 #include "state/time.h"
 
--- a/coordination/router.cpp
+++ b/coordination/routing/router.cpp
@@ -1,9 +1,9 @@
-#include "coordination/router.h"
+#include "coordination/routing/router.h"
 
-#include "coordination/prefix_hints.h"
-#include "coordination/routed_runner.h"
-#include "coordination/runner_choice.h"
-#include "coordination/runner_pool.h"
+#include "coordination/routing/prefix_hints.h"
+#include "coordination/routing/routed_runner.h"
+#include "coordination/routing/runner_choice.h"
+#include "coordination/routing/runner_pool.h"
 
 #include <algorithm>
 #include <cstddef>
--- a/coordination/router.h
+++ b/coordination/routing/router.h
@@ -3,11 +3,11 @@
 #include "coordination/attempt_id.h"
 #include "coordination/coordination_error.h"
 #include "coordination/execution_outcome.h"
-#include "coordination/load_report.h"
-#include "coordination/route_decision.h"
-#include "coordination/route_request.h"
-#include "coordination/router_settings.h"
-#include "coordination/runner_view.h"
+#include "coordination/routing/load_report.h"
+#include "coordination/routing/route_decision.h"
+#include "coordination/routing/route_request.h"
+#include "coordination/routing/router_settings.h"
+#include "coordination/routing/runner_view.h"
 #include "state/time.h"
 
 #include <cstddef>
--- a/coordination/runner_choice.cpp
+++ b/coordination/routing/runner_choice.cpp
@@ -1,9 +1,9 @@
-#include "coordination/runner_choice.h"
+#include "coordination/routing/runner_choice.h"
 
-#include "coordination/pool_baseline.h"
-#include "coordination/prefix_hints.h"
-#include "coordination/routed_runner.h"
-#include "coordination/runner_pool.h"
+#include "coordination/routing/pool_baseline.h"
+#include "coordination/routing/prefix_hints.h"
+#include "coordination/routing/routed_runner.h"
+#include "coordination/routing/runner_pool.h"
 #include "state/name_digest.h"
 
 #include <algorithm>
--- a/coordination/runner_health.cpp
+++ b/coordination/routing/runner_health.cpp
@@ -1,4 +1,4 @@
-#include "coordination/runner_health.h"
+#include "coordination/routing/runner_health.h"
 
 #include <algorithm>
 #include <chrono>
--- a/coordination/runner_load.cpp
+++ b/coordination/routing/runner_load.cpp
@@ -1,4 +1,4 @@
-#include "coordination/runner_load.h"
+#include "coordination/routing/runner_load.h"
 
 #include <algorithm>
 #include <chrono>
--- a/coordination/runner_load.h
+++ b/coordination/routing/runner_load.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "coordination/attempt_id.h"
-#include "coordination/load_report.h"
-#include "coordination/request_cost.h"
+#include "coordination/queueing/request_cost.h"
+#include "coordination/routing/load_report.h"
 #include "state/time.h"
 
 #include <cstdint>
--- a/coordination/runner_observation.h
+++ b/coordination/routing/runner_observation.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "coordination/member_state.h"
-#include "coordination/runner_state.h"
+#include "coordination/agent/runner_state.h"
+#include "coordination/membership/member_state.h"
 #include "state/ids.h"
 #include "state/time.h"
 
--- a/coordination/runner_pool.cpp
+++ b/coordination/routing/runner_pool.cpp
@@ -1,7 +1,7 @@
-#include "coordination/runner_pool.h"
+#include "coordination/routing/runner_pool.h"
 
-#include "coordination/routed_runner.h"
-#include "coordination/router_settings.h"
+#include "coordination/routing/routed_runner.h"
+#include "coordination/routing/router_settings.h"
 #include "state/name_digest.h"
 
 #include <algorithm>
--- a/coordination/runner_pool.h
+++ b/coordination/routing/runner_pool.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/pool_baseline.h"
+#include "coordination/routing/pool_baseline.h"
 #include "state/time.h"
 
 #include <cstdint>
--- a/coordination/change_history.cpp
+++ b/coordination/spread/change_history.cpp
@@ -1,4 +1,4 @@
-#include "coordination/change_history.h"
+#include "coordination/spread/change_history.h"
 
 namespace sardinelb {
 
--- a/coordination/config_spread.cpp
+++ b/coordination/spread/config_spread.cpp
@@ -1,6 +1,6 @@
-#include "coordination/config_spread.h"
+#include "coordination/spread/config_spread.h"
 
-#include "coordination/poller_rank.h"
+#include "coordination/spread/poller_rank.h"
 #include "state/apply_change.h"
 #include "state/entity.h"
 #include "state/snapshot_json.h"
--- a/coordination/config_spread.h
+++ b/coordination/spread/config_spread.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "coordination/change_history.h"
-#include "coordination/config_spread_settings.h"
-#include "coordination/snapshot_receiver.h"
-#include "coordination/spread_action.h"
-#include "coordination/spread_peer.h"
-#include "coordination/start_quorum.h"
+#include "coordination/spread/change_history.h"
+#include "coordination/spread/config_spread_settings.h"
+#include "coordination/spread/snapshot_receiver.h"
+#include "coordination/spread/spread_action.h"
+#include "coordination/spread/spread_peer.h"
+#include "coordination/spread/start_quorum.h"
 #include "state/configuration.h"
 #include "state/state_error.h"
 #include "state/time.h"
--- a/coordination/poller_rank.cpp
+++ b/coordination/spread/poller_rank.cpp
@@ -1,4 +1,4 @@
-#include "coordination/poller_rank.h"
+#include "coordination/spread/poller_rank.h"
 
 #include "state/name_digest.h"
 
--- a/coordination/poller_rank.h
+++ b/coordination/spread/poller_rank.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/spread_peer.h"
+#include "coordination/spread/spread_peer.h"
 #include "state/ids.h"
 
 #include <cstddef>
--- a/coordination/snapshot_receiver.cpp
+++ b/coordination/spread/snapshot_receiver.cpp
@@ -1,4 +1,4 @@
-#include "coordination/snapshot_receiver.h"
+#include "coordination/spread/snapshot_receiver.h"
 
 #include "state/configuration_check.h"
 #include "state/snapshot_json.h"
--- a/coordination/snapshot_receiver.h
+++ b/coordination/spread/snapshot_receiver.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/changes_message.h"
+#include "coordination/messages/changes_message.h"
 #include "state/configuration.h"
 #include "state/document_fault.h"
 
--- a/coordination/spread_action.h
+++ b/coordination/spread/spread_action.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "coordination/changes_message.h"
-#include "coordination/changes_request_message.h"
+#include "coordination/messages/changes_message.h"
+#include "coordination/messages/changes_request_message.h"
 #include "state/ids.h"
 
 #include <string>
--- a/coordination/spread_peers.cpp
+++ b/coordination/spread/spread_peers.cpp
@@ -1,4 +1,4 @@
-#include "coordination/spread_peers.h"
+#include "coordination/spread/spread_peers.h"
 
 namespace sardinelb {
 
--- a/coordination/spread_peers.h
+++ b/coordination/spread/spread_peers.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "coordination/member_view.h"
-#include "coordination/spread_peer.h"
+#include "coordination/membership/member_view.h"
+#include "coordination/spread/spread_peer.h"
 
 #include <vector>
 
--- a/coordination/start_quorum.cpp
+++ b/coordination/spread/start_quorum.cpp
@@ -1,6 +1,6 @@
-#include "coordination/start_quorum.h"
+#include "coordination/spread/start_quorum.h"
 
-#include "coordination/majority.h"
+#include "coordination/spread/majority.h"
 
 #include <algorithm>
 #include <iterator>
--- a/daemon/agent_daemon.cpp
+++ b/daemon/agent_daemon.cpp
@@ -1,6 +1,6 @@
 #include "daemon/agent_daemon.h"
 
-#include "coordination/agent_core.h"
+#include "coordination/agent/agent_core.h"
 #include "daemon/daemon_runtime.h"
 #include "daemon/logger.h"
 #include "transport/runner_client.h"
--- a/daemon/caller_api.h
+++ b/daemon/caller_api.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "coordination/answer_end_action.h"
-#include "coordination/answer_part_action.h"
-#include "coordination/caller_error.h"
-#include "coordination/caller_request.h"
+#include "coordination/entry/answer_end_action.h"
+#include "coordination/entry/answer_part_action.h"
+#include "coordination/entry/caller_error.h"
+#include "coordination/entry/caller_request.h"
 #include "daemon/directory.h"
 #include "state/ids.h"
 #include "state/units.h"
--- a/daemon/configuration_feed.h
+++ b/daemon/configuration_feed.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "coordination/config_spread.h"
-#include "coordination/peer_message.h"
+#include "coordination/messages/peer_message.h"
+#include "coordination/spread/config_spread.h"
 #include "daemon/directory.h"
 #include "daemon/entry_address.h"
 #include "state/change_log.h"
--- a/daemon/entry_daemon.cpp
+++ b/daemon/entry_daemon.cpp
@@ -1,6 +1,6 @@
 #include "daemon/entry_daemon.h"
 
-#include "coordination/entry_core.h"
+#include "coordination/entry/entry_core.h"
 #include "daemon/caller_api.h"
 #include "daemon/daemon_runtime.h"
 #include "daemon/logger.h"
--- a/examples/route_requests.cpp
+++ b/examples/route_requests.cpp
@@ -1,6 +1,6 @@
 // Routes a few requests over three runners, one of which reports a long backlog.
 
-#include "coordination/router.h"
+#include "coordination/routing/router.h"
 
 #include <iostream>
 
--- a/protocol/error_response.h
+++ b/protocol/error_response.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/caller_error.h"
+#include "coordination/entry/caller_error.h"
 #include "protocol/protocol_error.h"
 #include "state/ids.h"
 
--- a/relay/runner_exchange.cpp
+++ b/relay/runner_exchange.cpp
@@ -1,7 +1,7 @@
 #include "relay/runner_exchange.h"
 
-#include "relay/http_response_head.h"
 #include "relay/endpoint.h"
+#include "relay/http_response_head.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/tests/correctness/cost_estimator_test.cpp
+++ b/tests/correctness/cost_estimator_test.cpp
@@ -1,6 +1,6 @@
-#include "coordination/cost_estimator.h"
-#include "coordination/recent_map.h"
-#include "coordination/token_usage.h"
+#include "coordination/queueing/cost_estimator.h"
+#include "coordination/queueing/recent_map.h"
+#include "coordination/queueing/token_usage.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
--- a/tests/correctness/limit_ownership_test.cpp
+++ b/tests/correctness/limit_ownership_test.cpp
@@ -1,6 +1,6 @@
-#include "coordination/daemon_list_change.h"
-#include "coordination/limit_ownership.h"
-#include "coordination/limit_shard.h"
+#include "coordination/limits/limit_ownership.h"
+#include "coordination/limits/limit_shard.h"
+#include "coordination/membership/daemon_list_change.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
--- a/tests/correctness/map_planner_test.cpp
+++ b/tests/correctness/map_planner_test.cpp
@@ -1,7 +1,7 @@
-#include "coordination/map_balance.h"
-#include "coordination/map_planner.h"
-#include "coordination/popularity_tracker.h"
-#include "coordination/replica_placement.h"
+#include "coordination/maps/map_balance.h"
+#include "coordination/maps/map_planner.h"
+#include "coordination/maps/popularity_tracker.h"
+#include "coordination/maps/replica_placement.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/correctness/map_switch_world.h
+++ b/tests/correctness/map_switch_world.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "coordination/map_rows.h"
-#include "coordination/map_switch_coordinator.h"
-#include "coordination/map_switch_rank.h"
+#include "coordination/maps/map_rows.h"
+#include "coordination/maps/map_switch_coordinator.h"
+#include "coordination/maps/map_switch_rank.h"
 #include "tests/stand_ins/memory_table.h"
 #include "tests/stand_ins/virtual_schedule.h"
 
--- a/tests/correctness/queue_driver.h
+++ b/tests/correctness/queue_driver.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/request_queue.h"
+#include "coordination/queueing/request_queue.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/correctness/rank_trackers_test.cpp
+++ b/tests/correctness/rank_trackers_test.cpp
@@ -1,5 +1,5 @@
-#include "coordination/popularity_tracker.h"
-#include "coordination/rank_speed_tracker.h"
+#include "coordination/maps/popularity_tracker.h"
+#include "coordination/maps/rank_speed_tracker.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/correctness/request_queue_test.cpp
+++ b/tests/correctness/request_queue_test.cpp
@@ -1,4 +1,4 @@
-#include "coordination/request_queue.h"
+#include "coordination/queueing/request_queue.h"
 #include "tests/correctness/queue_driver.h"
 
 #include <gtest/gtest.h>
--- a/tests/correctness/retry_policy_test.cpp
+++ b/tests/correctness/retry_policy_test.cpp
@@ -1,4 +1,4 @@
-#include "coordination/retry_policy.h"
+#include "coordination/entry/retry_policy.h"
 
 #include "state/derived_limits.h"
 
--- a/tests/correctness/router_test.cpp
+++ b/tests/correctness/router_test.cpp
@@ -1,4 +1,4 @@
-#include "coordination/router.h"
+#include "coordination/routing/router.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
--- a/tests/correctness/token_account_test.cpp
+++ b/tests/correctness/token_account_test.cpp
@@ -1,8 +1,8 @@
-#include "coordination/token_account.h"
+#include "coordination/limits/token_account.h"
 
-#include "coordination/lease_grant_message.h"
-#include "coordination/lease_request_message.h"
-#include "coordination/limit_owner.h"
+#include "coordination/limits/limit_owner.h"
+#include "coordination/messages/lease_grant_message.h"
+#include "coordination/messages/lease_request_message.h"
 #include "state/contract.h"
 #include "state/derived_limits.h"
 
--- a/tests/error/agent_core_test.cpp
+++ b/tests/error/agent_core_test.cpp
@@ -1,4 +1,4 @@
-#include "coordination/agent_core.h"
+#include "coordination/agent/agent_core.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/error/error_response_test.cpp
+++ b/tests/error/error_response_test.cpp
@@ -1,6 +1,6 @@
 #include "protocol/error_response.h"
 
-#include "coordination/caller_error.h"
+#include "coordination/entry/caller_error.h"
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
--- a/tests/error/limit_leases_test.cpp
+++ b/tests/error/limit_leases_test.cpp
@@ -1,6 +1,6 @@
 #include "bench/limit_fleet.h"
-#include "coordination/limit_bucket.h"
-#include "coordination/limit_share.h"
+#include "coordination/limits/limit_bucket.h"
+#include "coordination/limits/limit_share.h"
 #include "state/contract.h"
 
 #include <gtest/gtest.h>
--- a/tests/error/map_planner_test.cpp
+++ b/tests/error/map_planner_test.cpp
@@ -1,4 +1,4 @@
-#include "coordination/map_planner.h"
+#include "coordination/maps/map_planner.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/error/map_rows_test.cpp
+++ b/tests/error/map_rows_test.cpp
@@ -1,4 +1,4 @@
-#include "coordination/map_rows.h"
+#include "coordination/maps/map_rows.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/error/order_fault_test.cpp
+++ b/tests/error/order_fault_test.cpp
@@ -1,9 +1,9 @@
 // Fault matrix of leases and orders: two holders, one agent and one runner in virtual time, with every fault at every
 // step, singly and in pairs.
 
-#include "coordination/lease.h"
-#include "coordination/order_executor.h"
-#include "coordination/order_gate.h"
+#include "coordination/leases/lease.h"
+#include "coordination/leases/order_executor.h"
+#include "coordination/leases/order_gate.h"
 #include "state/memory_table.h"
 
 #include <array>
--- a/tests/error/order_gate_test.cpp
+++ b/tests/error/order_gate_test.cpp
@@ -1,7 +1,7 @@
-#include "coordination/lease.h"
-#include "coordination/order_executor.h"
-#include "coordination/order_gate.h"
-#include "coordination/order_row.h"
+#include "coordination/leases/lease.h"
+#include "coordination/leases/order_executor.h"
+#include "coordination/leases/order_gate.h"
+#include "coordination/leases/order_row.h"
 
 #include <gtest/gtest.h>
 #include <optional>
--- a/tests/error/repair_planner_test.cpp
+++ b/tests/error/repair_planner_test.cpp
@@ -1,4 +1,4 @@
-#include "coordination/repair_planner.h"
+#include "coordination/leases/repair_planner.h"
 
 #include <algorithm>
 #include <gtest/gtest.h>
--- a/tests/fakes/agent_host.h
+++ b/tests/fakes/agent_host.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "coordination/agent_core.h"
-#include "coordination/agent_settings.h"
+#include "coordination/agent/agent_core.h"
+#include "coordination/agent/agent_settings.h"
 #include "state/ids.h"
 #include "state/runner.h"
 #include "tests/fakes/fake_runner.h"
--- a/tests/fakes/caller_record.h
+++ b/tests/fakes/caller_record.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "coordination/caller_error.h"
-#include "coordination/caller_request.h"
+#include "coordination/entry/caller_error.h"
+#include "coordination/entry/caller_request.h"
 #include "state/time.h"
 #include "tests/fakes/request_kind.h"
 
--- a/tests/fakes/entry_host.h
+++ b/tests/fakes/entry_host.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "coordination/entry_core.h"
-#include "coordination/entry_settings.h"
-#include "coordination/runner_view.h"
+#include "coordination/entry/entry_core.h"
+#include "coordination/entry/entry_settings.h"
+#include "coordination/routing/runner_view.h"
 #include "state/ids.h"
 #include "tests/fakes/process_host.h"
 
--- a/tests/fakes/fake_network.h
+++ b/tests/fakes/fake_network.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/peer_message.h"
+#include "coordination/messages/peer_message.h"
 #include "state/ids.h"
 #include "state/time.h"
 #include "tests/fakes/event_queue.h"
--- a/tests/fakes/fake_runner.h
+++ b/tests/fakes/fake_runner.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "coordination/agent/start_call_action.h"
 #include "coordination/attempt_id.h"
 #include "coordination/call_failure.h"
-#include "coordination/start_call_action.h"
 #include "state/ids.h"
 #include "state/time.h"
 #include "tests/fakes/event_queue.h"
--- a/transport/peer_links.h
+++ b/transport/peer_links.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/peer_message.h"
+#include "coordination/messages/peer_message.h"
 #include "protocol/frame.h"
 #include "state/ids.h"
 #include "transport/link_limits.h"
--- a/transport/runner_client.h
+++ b/transport/runner_client.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "coordination/agent/start_call_action.h"
 #include "coordination/attempt_id.h"
 #include "coordination/call_failure.h"
-#include "coordination/start_call_action.h"
-#include "coordination/token_usage.h"
+#include "coordination/queueing/token_usage.h"
 #include "transport/socket_address.h"
 
 #include <cstdint>
