--- a/fleet/caller_server.cpp
+++ b/fleet/caller_server.cpp
@@ -20,7 +20,7 @@
 
 }
 
-caller_server::caller_server(boost::asio::any_io_executor executor, caller_connection::hooks hooks)
+caller_server::caller_server(const boost::asio::any_io_executor& executor, caller_connection::hooks hooks)
     : m_acceptor(executor)
     , m_hooks(std::make_shared<caller_connection::hooks>(std::move(hooks)))
 {
--- a/fleet/caller_server.h
+++ b/fleet/caller_server.h
@@ -16,7 +16,7 @@
 // Accepts connections on one address and serves HTTP on them.
 class caller_server : public std::enable_shared_from_this<caller_server> {
 public:
-    caller_server(boost::asio::any_io_executor, caller_connection::hooks);
+    caller_server(const boost::asio::any_io_executor&, caller_connection::hooks);
 
     // Returns false, with `problem` set, if the address cannot be listened on.
     bool listen(const std::string& address, std::string& problem);
--- a/fleet/entry_peers.cpp
+++ b/fleet/entry_peers.cpp
@@ -10,6 +10,8 @@
 #include "serving/route_index.h"
 #include "serving/serving_configuration.h"
 
+#include <algorithm>
+
 namespace sardinelb {
 
 using boost::asio::ip::udp;
@@ -18,6 +20,9 @@
 
 constexpr std::chrono::milliseconds beatInterval { 500 };
 
+// Entries that read the list of runners. One more than needed, for the case that one is cut off.
+constexpr std::size_t readers = 2;
+
 // Entries and agents that have not been heard of for this long are taken as gone.
 constexpr duration entryLifetime = std::chrono::milliseconds(2500);
 constexpr duration agentLifetime = std::chrono::milliseconds(1000);
@@ -80,6 +85,12 @@
     m_entry.setEntriesAlive(m_entries.size() + 1);
 }
 
+bool entry_peers::isReader() const
+{
+    const auto before = std::count_if(m_entries.begin(), m_entries.end(), [&](const auto& entry) { return entry.first < m_settings.ip; });
+    return static_cast<std::size_t>(before) < readers;
+}
+
 void entry_peers::leave()
 {
     m_isLeaving = true;
@@ -93,6 +104,8 @@
     beat.daemon = m_settings.daemon;
     beat.configuration = own.configuration;
     beat.runnerList = own.runnerList;
+    beat.runnerDigest = own.runnerDigest;
+    beat.listAge = own.listAge;
     beat.isStopping = m_isLeaving;
     tellEntries(beat);
     tellAgents(beat);
@@ -170,7 +183,7 @@
         return;
     }
     noteEntry(ip);
-    m_hooks.peerKnows(ip, { beat.configuration, beat.runnerList });
+    m_hooks.peerKnows(ip, { beat.configuration, beat.runnerList, beat.runnerDigest, beat.listAge });
 }
 
 void entry_peers::loadArrived(const load_message& message, const std::string& ip)
--- a/fleet/entry_peers.h
+++ b/fleet/entry_peers.h
@@ -32,6 +32,8 @@
     struct knowledge {
         config_version configuration;
         row_revision runnerList;
+        std::uint64_t runnerDigest = 0;
+        duration listAge {};
     };
 
     struct hooks {
@@ -49,6 +51,10 @@
     // Tells all at once, as after a change. Repeated twice a second.
     void tellAll();
 
+    // Whether this is one of the few entries that read the list of runners for all. It follows from the addresses of the
+    // entries that live, so that all come to the same result.
+    bool isReader() const;
+
     // Tells all that this entry is leaving.
     void leave();
 
--- a/fleet/entry_process.cpp
+++ b/fleet/entry_process.cpp
@@ -31,6 +31,8 @@
 // The configuration changes seldom, so the store holds the call; a connection that fell silent shows after this time.
 constexpr std::chrono::milliseconds configurationWait { 1200 };
 
+constexpr std::chrono::milliseconds configurationPause { 60 };
+
 // Every heartbeat of a runner is a change, so the calls are paced. A runner that leaves is known in a third of the time
 // that the platform allows.
 constexpr std::chrono::milliseconds runnerListPause { 550 };
@@ -38,8 +40,9 @@
 // A stopping entry takes new connections until the platform's balancer has seen that it is not ready.
 constexpr std::chrono::milliseconds balancerNotice { 2600 };
 
-// After this time without an answer of the store, the list of runners is read from a peer that knows a newer one.
-constexpr std::chrono::milliseconds runnerListSilence { 1000 };
+// Entries that leave the reading of the list of runners to others read it themselves when it has not been confirmed for
+// this long.
+constexpr std::chrono::milliseconds runnerListSilence { 1100 };
 
 constexpr std::chrono::milliseconds stopCheck { 100 };
 
@@ -81,6 +84,7 @@
     std::shared_ptr<platform::table_follower> runnerFollower;
     boost::asio::steady_timer listingTimer;
     boost::asio::steady_timer stopTimer;
+    std::uint64_t listedDigest = 0;
     bool knowsRunners = false;
     bool isStopping = false;
     time_point stoppingSince;
@@ -89,6 +93,8 @@
     bool listen(std::shared_ptr<caller_server>&, caller_connection::hooks, const std::string& address);
     caller_connection::hooks callerHooks();
     caller_connection::hooks statusHooks();
+    // Whether this entry reads the store itself; otherwise it hears of changes from the entries that do.
+    bool mustRead() const;
     void followConfiguration();
     void followRunners();
     void configurationChanged(const std::vector<platform::store_row>&);
@@ -188,15 +194,18 @@
 
 entry_peers::knowledge entry_process::implementation::ownKnowledge() const
 {
-    return { entry.configurationVersion(), runnerFollower->revision() };
+    return { entry.configurationVersion(), runnerFollower->revision(), listing.digest(), runnerFollower->silence() };
 }
 
 void entry_process::implementation::peerKnows(const std::string& ip, const entry_peers::knowledge& known)
 {
     if (known.configuration > entry.configurationVersion())
         readFromPeer(ip, platform::configurationTable, *configurationFollower);
-    const bool isBehind = known.runnerList > runnerFollower->revision() && runnerFollower->silence() > runnerListSilence;
-    if (isBehind)
+    if (known.runnerList <= runnerFollower->revision())
+        return;
+    if (known.runnerDigest == listing.digest())
+        runnerFollower->confirm(known.runnerList, std::chrono::duration_cast<std::chrono::milliseconds>(known.listAge));
+    else
         readFromPeer(ip, platform::runnerTable, *runnerFollower);
 }
 
@@ -208,7 +217,7 @@
     log.write("peer_read", { { "ip", ip }, { "table", table }, { "store_silent_ms", follower.silence().count() } });
     const std::string address = ip + ":" + std::to_string(options.firstPeerPort + entryTablePort);
     auto& client = peerReads[name] = std::make_unique<platform::store_client>(context.get_executor(), address);
-    client->read(std::string(table), "", [this, name, &follower](platform::store_answer answer) {
+    client->read(std::string(table), "", [this, name, &follower](const platform::store_answer& answer) {
         follower.offer(answer);
         boost::asio::post(context, [this, name] { peerReads.erase(name); });
     });
@@ -219,12 +228,22 @@
     return entry.routes() && knowsRunners && !isStopping;
 }
 
+bool entry_process::implementation::mustRead() const
+{
+    return peers.isReader() || runnerFollower->silence() > runnerListSilence;
+}
+
 void entry_process::implementation::followConfiguration()
 {
     platform::table_follower::hooks hooks;
     hooks.rows = [this](const std::vector<platform::store_row>& rows, bool, row_revision) { configurationChanged(rows); };
     hooks.reachable = [this](bool isReachable) { storeReachable("configuration", isReachable); };
-    configurationFollower = std::make_shared<platform::table_follower>(context.get_executor(), store, platform::table_follower::settings { std::string(platform::configurationTable), configurationWait, std::chrono::milliseconds(20) }, std::move(hooks));
+    platform::table_follower::settings following;
+    following.table = std::string(platform::configurationTable);
+    following.wait = configurationWait;
+    following.pause = configurationPause;
+    following.needsReading = [this] { return mustRead(); };
+    configurationFollower = std::make_shared<platform::table_follower>(context.get_executor(), store, std::move(following), std::move(hooks));
     configurationFollower->start();
 }
 
@@ -233,7 +252,11 @@
     platform::table_follower::hooks hooks;
     hooks.rows = [this](const std::vector<platform::store_row>& rows, bool isWhole, row_revision) { runnersChanged(rows, isWhole); };
     hooks.reachable = [this](bool isReachable) { storeReachable("runners", isReachable); };
-    runnerFollower = std::make_shared<platform::table_follower>(context.get_executor(), store, platform::table_follower::settings { std::string(platform::runnerTable), std::chrono::milliseconds(0), runnerListPause }, std::move(hooks));
+    platform::table_follower::settings following;
+    following.table = std::string(platform::runnerTable);
+    following.pause = runnerListPause;
+    following.needsReading = [this] { return mustRead(); };
+    runnerFollower = std::make_shared<platform::table_follower>(context.get_executor(), store, std::move(following), std::move(hooks));
     runnerFollower->start();
 }
 
@@ -289,12 +312,17 @@
         if (!known || known->listing.isDraining != runner.isDraining || known->listing.startedAtMs != runner.startedAtMs)
             log.write("runner", { { "runner", runner.id.value() }, { "pool", runner.pool.value() }, { "address", runner.address }, { "draining", runner.isDraining } });
     }
-    for (const auto& [id, record] : entry.runners().runners()) {
+    for (const auto& known : entry.runners().runners()) {
+        const runner_id& id = known.first;
         const bool isListed = std::any_of(runners.begin(), runners.end(), [&](const listed_runner& runner) { return runner.id == id; });
         if (!isListed)
-            log.write("runner_gone", { { "runner", id.value() }, { "in_flight", static_cast<std::int64_t>(record.inFlight) } });
+            log.write("runner_gone", { { "runner", id.value() }, { "in_flight", static_cast<std::int64_t>(known.second.inFlight) } });
     }
+    const bool isChanged = listing.digest() != listedDigest;
+    listedDigest = listing.digest();
     entry.setRunners(runners);
+    if (isChanged)
+        peers.tellAll();
     const auto lapse = listing.nextLapse();
     if (!lapse)
         return;
--- a/fleet/fleet_message.cpp
+++ b/fleet/fleet_message.cpp
@@ -17,7 +17,8 @@
         for (const auto& member : message.members)
             members.push_back(wire::Creategroup_memberDirect(builder, member.rank.value(), member.address.c_str()));
         const auto body = wire::Createentry_beatDirect(builder, message.daemon.value().c_str(), message.configuration.value(),
-            message.runnerList.value(), message.isStopping, message.group.value().c_str(), &members,
+            message.runnerList.value(), message.runnerDigest,
+            static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(message.listAge).count()), message.isStopping, message.group.value().c_str(), &members,
             message.placesPerRank, message.newPerRank, static_cast<std::uint64_t>(message.expertCopyTime.count()), message.slots);
         finish(wire::datagram_body::entry_beat, body.Union());
     }
@@ -66,6 +67,8 @@
     message.daemon = daemon_id(text(body.daemon()));
     message.configuration = config_version(body.configuration());
     message.runnerList = row_revision(body.runner_list());
+    message.runnerDigest = body.runner_digest();
+    message.listAge = std::chrono::milliseconds(body.list_age_ms());
     message.isStopping = body.stopping();
     message.group = group_id(text(body.group()));
     if (body.members()) {
--- a/fleet/fleet_message.h
+++ b/fleet/fleet_message.h
@@ -26,6 +26,10 @@
     daemon_id daemon;
     config_version configuration;
     row_revision runnerList;
+    // Digest of the list of runners. Equal lists have equal digests.
+    std::uint64_t runnerDigest = 0;
+    // For how long the store has not confirmed the list, directly or through other entries.
+    duration listAge {};
     bool isStopping = false;
     // Set for agents whose group the entry knows.
     group_id group;
--- a/relay/datagram_port.cpp
+++ b/relay/datagram_port.cpp
@@ -11,7 +11,7 @@
 
 }
 
-datagram_port::datagram_port(boost::asio::any_io_executor executor, receiver received)
+datagram_port::datagram_port(const boost::asio::any_io_executor& executor, receiver received)
     : m_socket(executor)
     , m_received(std::move(received))
     , m_buffer(largestDatagram, '\0')
--- a/relay/datagram_port.h
+++ b/relay/datagram_port.h
@@ -15,7 +15,7 @@
 public:
     using receiver = std::function<void(std::string_view bytes, const boost::asio::ip::udp::endpoint& from)>;
 
-    datagram_port(boost::asio::any_io_executor, receiver);
+    datagram_port(const boost::asio::any_io_executor&, receiver);
 
     // Returns false, with `problem` set, if the port cannot be bound.
     bool open(const std::string& ip, unsigned short port, std::string& problem);
--- a/serving/runner_listing.cpp
+++ b/serving/runner_listing.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string>
+#include <string_view>
 #include <unordered_set>
 
 namespace sardinelb {
@@ -16,6 +17,32 @@
 
 }
 
+namespace {
+
+void addToDigest(std::uint64_t& digest, std::string_view text)
+{
+    // FNV-1a, which is the same in every process.
+    constexpr std::uint64_t prime = 1099511628211ULL;
+    for (const char c : text)
+        digest = (digest ^ static_cast<unsigned char>(c)) * prime;
+    digest = (digest ^ 0xff) * prime;
+}
+
+std::uint64_t digestOf(const std::vector<listed_runner>& runners)
+{
+    std::uint64_t digest = 14695981039346656037ULL;
+    for (const listed_runner& runner : runners) {
+        addToDigest(digest, runner.id.value());
+        addToDigest(digest, runner.pool.value());
+        addToDigest(digest, runner.address);
+        addToDigest(digest, runner.isDraining ? "draining" : "ready");
+        addToDigest(digest, std::to_string(runner.startedAtMs));
+    }
+    return digest;
+}
+
+}
+
 void runner_listing::apply(const std::vector<change>& changes, bool isWhole, time_point now)
 {
     std::unordered_set<runner_id> named;
@@ -84,6 +111,7 @@
     for (const auto& [address, runner] : newest)
         result.push_back(*runner);
     std::sort(result.begin(), result.end(), [](const listed_runner& a, const listed_runner& b) { return a.id < b.id; });
+    m_digest = digestOf(result);
     return result;
 }
 
--- a/serving/runner_listing.h
+++ b/serving/runner_listing.h
@@ -4,6 +4,7 @@
 #include "state/ids.h"
 #include "state/time.h"
 
+#include <cstdint>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -29,6 +30,9 @@
     // Runners in use now. Call again after nextLapse().
     std::vector<listed_runner> runners(time_point now);
 
+    // Digest of what runners() returned last; equal lists have equal digests.
+    std::uint64_t digest() const { return m_digest; }
+
     // When an entry that was kept will be dropped, if there is one.
     std::optional<time_point> nextLapse() const;
 
@@ -41,6 +45,7 @@
     bool m_isReachable = true;
     time_point m_awaySince;
     std::optional<time_point> m_backAt;
+    std::uint64_t m_digest = 0;
 };
 
 }
