--- a/fleet/fleet_message.cpp
+++ b/fleet/fleet_message.cpp
@@ -30,7 +30,7 @@
         for (const std::string& entry : message.entries)
             entries.push_back(builder.CreateString(entry));
         const auto body = wire::Createload_reportDirect(builder, load.group.value().c_str(), load.rank.value(), load.running,
-            load.waiting, load.pace, load.isGroupOpen, &entries);
+            load.waiting, load.pace, load.isGroupOpen, load.startedAtMs, &entries);
         finish(wire::datagram_body::load_report, body.Union());
     }
 
@@ -91,6 +91,7 @@
     message.load.waiting = body.waiting();
     message.load.pace = body.pace();
     message.load.isGroupOpen = body.open();
+    message.load.startedAtMs = body.started_ms();
     if (body.entries()) {
         for (const auto* entry : *body.entries())
             message.entries.push_back(text(entry));
--- a/fleet/request_relay.cpp
+++ b/fleet/request_relay.cpp
@@ -275,6 +275,10 @@
     if (events.empty())
         return;
     const time_point now = steadyNow();
+    if (m_firstEventAfter == duration {})
+        m_firstEventAfter = now - m_arrivedAt;
+    else
+        m_longestGap = std::max(m_longestGap, now - m_lastEventAt);
     if (!m_hasEvents)
         m_context.runners().firstEvent(m_runner, now - m_sentAt);
     else
@@ -455,7 +459,7 @@
 {
     m_isFinished = true;
     const duration total = steadyNow() - m_arrivedAt;
-    m_context.log().write("request", { { "request", m_request.attemptId }, { "outcome", outcome }, { "status", static_cast<std::int64_t>(status) }, { "why", why }, { "route", m_route ? std::string_view(m_route->name) : std::string_view() }, { "runner", m_runner.value() }, { "total_ms", milliseconds(total) }, { "events", static_cast<std::int64_t>(m_events.eventCount()) }, { "waiting", static_cast<std::int64_t>(m_pool.value().empty() ? 0 : m_context.lineOf(m_pool).size()) } });
+    m_context.log().write("request", { { "request", m_request.attemptId }, { "outcome", outcome }, { "status", static_cast<std::int64_t>(status) }, { "why", why }, { "route", m_route ? std::string_view(m_route->name) : std::string_view() }, { "runner", m_runner.value() }, { "total_ms", milliseconds(total) }, { "first_ms", milliseconds(m_firstEventAfter) }, { "longest_gap_ms", milliseconds(m_longestGap) }, { "events", static_cast<std::int64_t>(m_events.eventCount()) }, { "waiting", static_cast<std::int64_t>(m_pool.value().empty() ? 0 : m_context.lineOf(m_pool).size()) } });
     m_context.metrics().requestEnded(outcome, total);
     m_deadlineTimer.cancel();
     m_silenceTimer.cancel();
--- a/fleet/request_relay.h
+++ b/fleet/request_relay.h
@@ -90,6 +90,9 @@
     // Whether an event has come from this attempt.
     bool m_hasEvents = false;
     time_point m_lastEventAt;
+    // From the caller's request to the first event of its stream, and the longest pause between two events.
+    duration m_firstEventAfter {};
+    duration m_longestGap {};
 
     // All attempts together.
     std::vector<runner_id> m_tried;
--- a/relay/runner_exchange.cpp
+++ b/relay/runner_exchange.cpp
@@ -182,7 +182,7 @@
     socket.close(ignored);
 }
 
-runner_exchange::runner_exchange(asio::any_io_executor executor, hooks events)
+runner_exchange::runner_exchange(const asio::any_io_executor& executor, hooks events)
     : m_implementation(std::make_unique<implementation>(executor, std::move(events)))
 {
 }
--- a/relay/runner_exchange.h
+++ b/relay/runner_exchange.h
@@ -31,7 +31,7 @@
         std::function<void(ending)> end;
     };
 
-    runner_exchange(boost::asio::any_io_executor, hooks);
+    runner_exchange(const boost::asio::any_io_executor&, hooks);
     ~runner_exchange();
 
     // `address` is an IP number and a port.
--- a/serving/rank_load.h
+++ b/serving/rank_load.h
@@ -16,6 +16,8 @@
     std::uint32_t waiting = 0;
     // Over 1 for a slow runner.
     double pace = 1;
+    // Start of the runner's process in Unix ms. 0 if it is not known.
+    std::uint64_t startedAtMs = 0;
     // Whether all ranks of the group are there.
     bool isGroupOpen = true;
 };
--- a/serving/runner_directory.cpp
+++ b/serving/runner_directory.cpp
@@ -100,6 +100,14 @@
     runner_record* record = findRecord(report.runner);
     if (!record)
         return;
+    const bool isOther = report.startedAtMs != 0 && record->listing.startedAtMs != 0 && report.startedAtMs != record->listing.startedAtMs;
+    record->isReplaced = record->isReplaced || isOther;
+    const bool hasOpened = report.isGroupOpen && (!record->load || !record->load->isGroupOpen);
+    if (hasOpened) {
+        // What failed while the group was forming says nothing about it now.
+        record->avoidUntil = {};
+        record->failuresInRow = 0;
+    }
     record->load = runner_record::load_sample { report.running + report.waiting, record->inFlight, now, report.pace, report.isGroupOpen };
     record->group = report.group;
     record->rank = report.rank;
@@ -251,8 +259,13 @@
     record->failureRate = smoothed(record->failureRate, 1);
     if (failure == attempt_failure::ServerError)
         return;
+    if (failure == attempt_failure::Rejected) {
+        // The runner is there; it is full, or its group is forming.
+        record->avoidUntil = now + firstAvoidance;
+        return;
+    }
     const auto doubling = std::min<std::uint32_t>(record->failuresInRow++, 4);
-    // One lost answer does not show that a runner is down; a refused connection and a rejection do.
+    // One lost answer does not show that a runner is down; a refused connection does.
     if (failure == attempt_failure::OutcomeUnknown && doubling == 0)
         return;
     record->avoidUntil = now + std::min(firstAvoidance * (1 << doubling), longestAvoidance);
--- a/tests/fleet/load_patterns_test.cpp
+++ b/tests/fleet/load_patterns_test.cpp
@@ -208,6 +208,39 @@
     }
 }
 
+// Guards against runners that are left alone for seconds after their group has opened again.
+TEST_F(runner_choice_under_load, groupOpensAfterRefusals_nextReport_getsRequestsAtOnce)
+{
+    runner_directory directory = directoryOf(1, 12);
+    rank_load report = load(0, 0);
+    report.isGroupOpen = false;
+    directory.reportLoad(report, at(milliseconds(0)));
+    for (int i = 0; i < 6; ++i) {
+        directory.started(runner_id("r0"));
+        directory.failed(runner_id("r0"), attempt_failure::NotConnected, at(milliseconds(i)));
+    }
+    EXPECT_FALSE(directory.choose(m_pool, {}, at(milliseconds(100))));
+    report.isGroupOpen = true;
+    directory.reportLoad(report, at(milliseconds(200)));
+    EXPECT_TRUE(directory.choose(m_pool, {}, at(milliseconds(201))));
+}
+
+// Guards against requests to the listed runner while its agent already reports a newer process.
+TEST_F(runner_choice_under_load, agentReportsNewerProcess_listStillNamesTheOld_getsNoRequests)
+{
+    runner_directory directory = directoryOf(0, 12);
+    listed_runner runner;
+    runner.id = runner_id("r0");
+    runner.pool = m_pool;
+    runner.address = "10.0.0.1:80";
+    runner.startedAtMs = 1000;
+    directory.setRunners({ runner });
+    rank_load report = load(0, 0);
+    report.startedAtMs = 2000;
+    directory.reportLoad(report, at(milliseconds(0)));
+    EXPECT_FALSE(directory.choose(m_pool, {}, at(milliseconds(1))));
+}
+
 TEST_F(runner_choice_under_load, allRunnersFull_noRoomIsFound)
 {
     runner_directory directory = directoryOf(8, 12);
