Lower the limit of a group before its streams are late

One late gap of some twenty makes a stream late, so 8 late gaps of a hundred were far too many: the limit now falls from 3 of a hundred on, counted from nine tenths of the objective, to no less than half of the slots.

--- a/serving/runner_directory.cpp
+++ b/serving/runner_directory.cpp
@@ -20,12 +20,18 @@
 constexpr duration paceWindow = std::chrono::milliseconds(250);
 constexpr std::uint32_t fewestGaps = 8;
 
-// A window with a larger part of late gaps lowers the limit, one with a smaller part raises it.
-constexpr double tooManyLate = 0.08;
-constexpr double fewLate = 0.02;
+// A gap over this part of its objective counts as late, so that the limit falls before streams are late.
+constexpr double lateGap = 0.9;
+
+// A window with a larger part of late gaps lowers the limit, one with a smaller part raises it. One late gap of some twenty
+// makes a whole stream late.
+constexpr double tooManyLate = 0.03;
+constexpr double fewLate = 0.005;
 constexpr double limitDecrease = 0.9;
 constexpr double limitIncrease = 0.5;
-constexpr double lowestLimit = 3;
+
+// Below this part of the slots, passes hardly become shorter and much is turned away.
+constexpr double lowestLimit = 0.5;
 
 // A gap between events at which a group counts as neither fast nor slow.
 constexpr double usualGapMs = 60;
@@ -307,7 +313,7 @@
     if (now - pace.windowStart > paceWindow && pace.gaps >= fewestGaps) {
         const double late = static_cast<double>(pace.lateGaps) / pace.gaps;
         if (late > tooManyLate)
-            pace.limit = std::max(lowestLimit, pace.limit * limitDecrease);
+            pace.limit = std::max(most * lowestLimit, pace.limit * limitDecrease);
         else if (late < fewLate)
             pace.limit = std::min(most, pace.limit + limitIncrease);
         pace.windowStart = now;
@@ -317,7 +323,7 @@
     const double gapMs = std::chrono::duration<double, std::milli>(gap).count();
     pace.gapMs = pace.gapMs == 0 ? gapMs : pace.gapMs + gapSmoothing * (gapMs - pace.gapMs);
     ++pace.gaps;
-    if (gap > objective)
+    if (gap > objective * lateGap)
         ++pace.lateGaps;
 }
 
