--- a/coordination/entry/caller_error.h
+++ b/coordination/entry/caller_error.h
@@ -10,7 +10,7 @@
 
 // Why a caller gets no whole answer.
 struct caller_error {
-    // Stable code, as in "over_contract"; docs/operations.md lists all.
+    // Stable code, as in "over_contract"; docs/OPERATIONS.md lists all.
     std::string code;
     std::string message;
     execution_outcome execution = execution_outcome::NotRun;
--- a/daemon/command_line.cpp
+++ b/daemon/command_line.cpp
@@ -22,7 +22,7 @@
 {
     return "Usage: sardinelbd --config FILE [OPTION]...\n"
            "Runs one daemon of sardinelb in the role that its settings give.\n\n"
-           "  --config FILE      settings (JSON, docs/operations.md)\n"
+           "  --config FILE      settings (JSON, docs/OPERATIONS.md)\n"
            "  --check-config     check the settings, list all faults, and stop\n"
            "  --log-level LEVEL  trace, debug, info, warn or error (default info)\n"
            "  --help             show this text\n"
--- a/daemon/daemon_settings.h
+++ b/daemon/daemon_settings.h
@@ -14,7 +14,7 @@
 
 namespace sardinelb {
 
-// Settings of one daemon, from its JSON file. docs/operations.md describes each.
+// Settings of one daemon, from its JSON file. docs/OPERATIONS.md describes each.
 struct daemon_settings {
     daemon_id id;
     daemon_role role = daemon_role::Entry;
--- a/daemon/metrics.h
+++ b/daemon/metrics.h
@@ -5,7 +5,7 @@
 
 namespace sardinelb {
 
-// Counters and gauges of one daemon. Safe to use from any thread. docs/operations.md describes each metric.
+// Counters and gauges of one daemon. Safe to use from any thread. docs/OPERATIONS.md describes each metric.
 class metrics {
 public:
     metrics();
