Read the choices of experts with each report, and forget them in 0.2 s

What binds is how fast the map follows the demand; the small sites differ by the moment at which a plan meets a move.

--- a/expert_map/expert_demand.cpp
+++ b/expert_map/expert_demand.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // Demand moves to other experts every few seconds.
-constexpr double recentHalfLifeSeconds = 0.3;
+constexpr double recentHalfLifeSeconds = 0.2;
 constexpr double settledHalfLifeSeconds = 12;
 
 // Weight of the long estimate.
--- a/fleet/agent_process.cpp
+++ b/fleet/agent_process.cpp
@@ -29,7 +29,7 @@
 constexpr std::chrono::milliseconds reportInterval { 100 };
 
 // Every so many reports, the choices of experts are read too.
-constexpr std::uint32_t reportsPerChoices = 2;
+constexpr std::uint32_t reportsPerChoices = 1;
 
 // Every so many reports, entries are told of each other.
 constexpr std::uint32_t reportsPerEntryList = 10;
