--- a/relay/caller_connection.cpp
+++ b/relay/caller_connection.cpp
@@ -386,9 +386,4 @@
     return m_implementation->writing.size() + m_implementation->queued.size();
 }
 
-bool caller_connection::isServing() const
-{
-    return m_implementation->now == implementation::phase::Serving || m_implementation->now == implementation::phase::Reading;
-}
-
 }
--- a/relay/caller_connection.h
+++ b/relay/caller_connection.h
@@ -52,8 +52,6 @@
     // Bytes that the caller has not taken yet.
     std::size_t unsentBytes() const;
 
-    bool isServing() const;
-
 private:
     struct implementation;
     std::unique_ptr<implementation> m_implementation;
--- a/serving/runner_directory.cpp
+++ b/serving/runner_directory.cpp
@@ -211,14 +211,6 @@
     return places / seconds;
 }
 
-bool runner_directory::hasUsable(const pool_id& pool, time_point now) const
-{
-    const auto members = m_byPool.find(pool);
-    return members != m_byPool.end() && std::any_of(members->second.begin(), members->second.end(), [&](const runner_id& id) {
-        return isUsable(m_runners.at(id), now);
-    });
-}
-
 void runner_directory::started(const runner_id& id)
 {
     if (runner_record* record = findRecord(id))
--- a/serving/runner_directory.h
+++ b/serving/runner_directory.h
@@ -44,9 +44,6 @@
     // avoided just now, since they may return within a moment.
     double placesPerSecond(const pool_id&) const;
 
-    // Whether the pool has a runner that may be given work at all.
-    bool hasUsable(const pool_id&, time_point now) const;
-
     void started(const runner_id&);
 
     // Ends an attempt that started() announced. `timeToAnswer` is from sending to the end of the answer.
