--- a/tests/fleet/platform_translation_test.cpp
+++ b/tests/fleet/platform_translation_test.cpp
@@ -96,7 +96,7 @@
     {
         const std::string path = testing::TempDir() + "sardinelb_settings_test.json";
         std::ofstream(path) << text;
-        const auto result = platform::readSettings(path, m_problem);
+        auto result = platform::readSettings(path, m_problem);
         std::remove(path.c_str());
         return result;
     }
