--- a/fleet/fleet_message.cpp
+++ b/fleet/fleet_message.cpp
@@ -153,6 +153,9 @@
     if (!wire::VerifydatagramBuffer(verifier))
         return std::nullopt;
     const auto* datagram = wire::Getdatagram(bytes.data());
+    // A datagram may name a kind of body and have none; the verifier lets that pass.
+    if (!datagram->body())
+        return std::nullopt;
     switch (datagram->body_type()) {
     case wire::datagram_body::entry_beat:
         return read(*datagram->body_as_entry_beat());
