--- a/expert_map/map_switch.cpp
+++ b/expert_map/map_switch.cpp
@@ -117,9 +117,12 @@
     return std::all_of(m_ranks.begin(), m_ranks.end(), [&](const auto& entry) { return entry.second.prepared == version; });
 }
 
-bool map_switch::allArmed(map_version version) const
+bool map_switch::areAllArmed() const
 {
-    return std::all_of(m_ranks.begin(), m_ranks.end(), [&](const auto& entry) { return entry.second.armed == version; });
+    if (m_ranks.empty() || !m_ranks.begin()->second.armed)
+        return false;
+    const auto& first = m_ranks.begin()->second.armed;
+    return std::all_of(m_ranks.begin(), m_ranks.end(), [&](const auto& entry) { return entry.second.armed == first; });
 }
 
 std::shared_ptr<const expert_placement> map_switch::placementInUse() const
@@ -398,7 +401,7 @@
         return;
     }
     const bool isAnyArmed = std::any_of(m_ranks.begin(), m_ranks.end(), [](const auto& entry) { return entry.second.armed.has_value(); });
-    if (!isComplete(now) || (!held && (!isAnyArmed || allArmed(*m_ranks.begin()->second.armed)))) {
+    if (!isComplete(now) || (!held && (!isAnyArmed || areAllArmed()))) {
         m_foreignSince.reset();
         return;
     }
@@ -407,10 +410,9 @@
     if (now - *m_foreignSince < foreignHoldTime || !isLeading)
         return;
     m_foreignSince.reset();
-    const auto& firstArmed = m_ranks.begin()->second.armed;
     if (held)
         m_step = *held;
-    if (held && firstArmed && allArmed(*firstArmed))
+    if (held && areAllArmed())
         startRelease(now);
     else
         startTakingBack(now);
--- a/expert_map/map_switch.h
+++ b/expert_map/map_switch.h
@@ -82,7 +82,8 @@
     void takeBack(const rank_status&, time_point now);
     void watchForeignHold(time_point now, bool isLeading);
     bool allPrepared(map_version) const;
-    bool allArmed(map_version) const;
+    // Whether all ranks are armed, for the same map.
+    bool areAllArmed() const;
     std::uint64_t highestVersion() const;
     map_version nextVersion();
     std::uint64_t highestStep() const;
--- a/fleet/agent_process.cpp
+++ b/fleet/agent_process.cpp
@@ -94,7 +94,7 @@
     void received(std::string_view bytes, const udp::endpoint& from);
     void beatArrived(const entry_beat_message&, const udp::endpoint& from);
     void reportArrived(std::optional<platform::runner_report>);
-    void readExperts(const rank_status&);
+    void readExperts();
     void readChoices();
     void noteChoices(platform::expert_choices&&);
     void tellEntries(const platform::runner_report&);
@@ -210,11 +210,11 @@
     if (isHeldKnown)
         own->status.experts = held->experts;
     else
-        readExperts(own->status);
+        readExperts();
     tellCoordinator();
 }
 
-void agent_process::implementation::readExperts(const rank_status&)
+void agent_process::implementation::readExperts()
 {
     runner.readExperts(options.runnerAddress, [this](std::optional<platform::held_experts> answer) {
         if (answer)
