Switch expert maps in steps that pay within the life of the demand

The busiest rank stood at 1.7 to 2.4 times the mean meanwhile.

Change: the coordinator compares plans of 1, 2 and 4 copies a rank and takes the one under which the passes of the next 2 s are shortest; a plan has to gain 8% whatever the size of the group; agents read their runner every 25 ms during a switch.

--- a/fleet/agent_process.cpp
+++ b/fleet/agent_process.cpp
@@ -28,8 +28,12 @@
 // Entries judge a runner's load by reports of this interval.
 constexpr std::chrono::milliseconds reportInterval { 100 };
 
-// Every so many reports, the choices of experts are read too.
-constexpr std::uint32_t reportsPerChoices = 1;
+// The runner is read this often while the map of its group is switched, since the next step of a switch waits for what
+// every rank reports.
+constexpr std::chrono::milliseconds switchInterval { 25 };
+
+// A rank that has prepared a map is armed within this time, or its switch has been given up.
+constexpr duration preparedLifetime = std::chrono::seconds(1);
 
 // Every so many reports, entries are told of each other.
 constexpr std::uint32_t reportsPerEntryList = 10;
@@ -83,6 +87,11 @@
     std::optional<platform::held_experts> held;
     platform::expert_choices lastChoices;
     std::uint32_t reportCount = 0;
+    // When the entries are told of the load next.
+    time_point nextReportAt;
+    bool isRunnerCopying = false;
+    // When the runner first reported the map that it has prepared now.
+    time_point preparedAt;
     std::unique_ptr<group_coordinator> coordinator;
     // When the agent of each rank was last heard of, by its own reports.
     std::map<rank_id, time_point> heardAt;
@@ -91,9 +100,10 @@
     bool start();
     void tick();
     void scheduleTick();
+    bool isSwitching() const;
     void received(std::string_view bytes, const udp::endpoint& from);
     void beatArrived(const entry_beat_message&, const udp::endpoint& from);
-    void reportArrived(std::optional<platform::runner_report>);
+    void reportArrived(std::optional<platform::runner_report>, bool isForEntries);
     void readExperts();
     void readChoices();
     void noteChoices(platform::expert_choices&&);
@@ -130,9 +140,19 @@
     return true;
 }
 
+bool agent_process::implementation::isSwitching() const
+{
+    if (coordinator && coordinator->isBusy())
+        return true;
+    if (!own)
+        return false;
+    const bool isPrepared = own->status.prepared > own->status.map && steadyNow() - preparedAt < preparedLifetime;
+    return isRunnerCopying || isPrepared || own->status.armed || own->status.held;
+}
+
 void agent_process::implementation::scheduleTick()
 {
-    timer.expires_after(reportInterval);
+    timer.expires_after(isSwitching() ? switchInterval : reportInterval);
     timer.async_wait([this](const boost::system::error_code& error) {
         if (!error)
             tick();
@@ -143,10 +163,14 @@
 {
     scheduleTick();
     forgetSilent();
-    ++reportCount;
-    if (reportCount % reportsPerChoices == 0)
+    const time_point now = steadyNow();
+    const bool isReportDue = now >= nextReportAt;
+    if (isReportDue) {
+        nextReportAt = now + reportInterval;
+        ++reportCount;
         readChoices();
-    runner.readReport(options.runnerAddress, [this](std::optional<platform::runner_report> report) { reportArrived(std::move(report)); });
+    }
+    runner.readReport(options.runnerAddress, [this, isReportDue](std::optional<platform::runner_report> report) { reportArrived(std::move(report), isReportDue); });
     leadGroup();
 }
 
@@ -191,11 +215,13 @@
         limits = { beat.placesPerRank, beat.newPerRank, beat.expertCopyTime, beat.slots };
 }
 
-void agent_process::implementation::reportArrived(std::optional<platform::runner_report> report)
+void agent_process::implementation::reportArrived(std::optional<platform::runner_report> report, bool isForEntries)
 {
     if (!report)
         return;
-    tellEntries(*report);
+    if (isForEntries)
+        tellEntries(*report);
+    isRunnerCopying = report->isCopying;
     if (report->groupSize == 0)
         return;
     rank_message message;
@@ -205,6 +231,8 @@
     message.running = report->load.running;
     if (own && own->status.epoch == message.status.epoch)
         message.choices = std::move(own->choices);
+    if (!own || own->status.prepared != message.status.prepared)
+        preparedAt = steadyNow();
     own = std::move(message);
     const bool isHeldKnown = held && held->epoch == own->status.epoch && held->map == own->status.map;
     if (isHeldKnown)
--- a/fleet/group_coordinator.cpp
+++ b/fleet/group_coordinator.cpp
@@ -1,5 +1,6 @@
 #include "fleet/group_coordinator.h"
 
+#include "expert_map/switch_planner.h"
 #include "fleet/event_log.h"
 #include "fleet/fleet_message.h"
 
@@ -18,8 +19,8 @@
 // Reports come ten times a second.
 constexpr duration silence = std::chrono::milliseconds(350);
 
-// Part by which a plan has to shorten the passes, for each rank: a switch takes two orders to each of them.
-constexpr double gainPerRank = 0.0025;
+// Part by which a plan has to shorten the passes. While a smaller plan is carried out, a larger one would have to wait.
+constexpr double leastGain = 0.08;
 
 // The same for a group without work, beyond the gain that is always asked for.
 constexpr double gainAtRest = 0.15;
@@ -130,8 +131,8 @@
     settings.placesPerRank = m_limits.placesPerRank;
     settings.newPerRank = m_limits.newPerRank;
     // Where few requests run, passes are short under any map, and copies and orders are not worth their cost.
-    settings.minimumGain = gainPerRank * m_groupSize + gainAtRest * (1 - pressure());
-    const auto plan = placement_planner(settings).improve(*current, popularity, speeds);
+    settings.minimumGain = leastGain + gainAtRest * (1 - pressure());
+    const auto plan = switch_planner(settings, m_limits.expertCopyTime).plan(*current, popularity, speeds);
     if (!plan)
         return;
     const duration copyTime = m_limits.expertCopyTime * settings.copiesPerRank;
--- a/tests/fleet/expert_map_test.cpp
+++ b/tests/fleet/expert_map_test.cpp
@@ -1,12 +1,16 @@
 #include "expert_map/expert_demand.h"
 #include "expert_map/placement_planner.h"
 #include "expert_map/set_placement.h"
+#include "expert_map/switch_planner.h"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <functional>
 #include <numeric>
+#include <optional>
 #include <random>
+#include <utility>
 
 namespace sardinelb::test {
 
@@ -143,6 +147,70 @@
     }
 }
 
+// Plays demand that moves to other experts every 3.5 s, and plans for it as a coordinator does.
+class switch_plan : public testing::Test {
+protected:
+    using planner = std::function<std::optional<placement_planner::plan>(const expert_placement&, const std::vector<std::vector<double>>&)>;
+
+    static constexpr std::size_t ranks = 8;
+    static constexpr std::size_t sets = 6;
+    static constexpr std::size_t experts = 64;
+    static constexpr double copySeconds = 0.15;
+    static constexpr double switchSeconds = 0.35;
+
+    // Time of the busiest rank over the mean, as the mean over half a minute.
+    static double meanBalance(const planner& plan)
+    {
+        constexpr double tick = 0.05;
+        expert_placement current = inTurn(sets, ranks, experts);
+        std::optional<expert_placement> next;
+        double inForceAt = 0;
+        double sum = 0;
+        int ticks = 0;
+        for (double now = 0; now < 30; now += tick, ++ticks) {
+            const auto popularity = oneHotExpert(sets, experts, 1 + static_cast<std::uint32_t>(now / 3.5));
+            if (next && now >= inForceAt)
+                current = *std::exchange(next, std::nullopt);
+            sum += balanceOf(current, popularity);
+            const auto planned = next ? std::nullopt : plan(current, popularity);
+            if (!planned)
+                continue;
+            inForceAt = now + switchSeconds + copySeconds * mostCopies(current, planned->placement);
+            next = planned->placement;
+        }
+        return sum / ticks;
+    }
+
+    static double balanceOf(const expert_placement& placement, const std::vector<std::vector<double>>& popularity)
+    {
+        double sum = 0;
+        for (std::size_t set = 0; set < sets; ++set)
+            sum += set_placement(placement.sets[set], popularity[set], std::vector<double>(ranks, 1)).balance();
+        return sum / sets;
+    }
+
+    static double mostCopies(const expert_placement& before, const expert_placement& after)
+    {
+        std::vector<double> copies(ranks);
+        for (std::size_t set = 0; set < sets; ++set) {
+            for (std::size_t rank = 0; rank < ranks; ++rank) {
+                const auto& held = before.sets[set][rank];
+                copies[rank] += static_cast<double>(std::count_if(after.sets[set][rank].begin(), after.sets[set][rank].end(), [&](expert_number expert) { return !std::binary_search(held.begin(), held.end(), expert); }));
+            }
+        }
+        return *std::max_element(copies.begin(), copies.end());
+    }
+};
+
+// Guards against a group that works under the map of the last demand until every useful expert is copied.
+TEST_F(switch_plan, demandMovesEveryFewSeconds_passesAreShorterThanWithWholePlans)
+{
+    const std::vector<double> speeds(ranks, 1);
+    const double whole = meanBalance([&](const auto& current, const auto& popularity) { return placement_planner(smallGroup()).improve(current, popularity, speeds); });
+    const double stepwise = meanBalance([&](const auto& current, const auto& popularity) { return switch_planner(smallGroup(), milliseconds(150)).plan(current, popularity, speeds); });
+    EXPECT_LT(stepwise, 0.95 * whole);
+}
+
 class demand_estimate : public testing::Test { };
 
 // Guards against a map for the demand of some seconds ago.
