Wait for a model runner's first report before it gets requests

Change: a runner of a pool with agents is used once its agent has reported it, or 0.8 s after it was listed; requests wait meanwhile. New entries that start alone get the reports within 0.2 s of their first beat.

Ruled out: a larger allowance for new entries; each refused attempt counts against it, whoever sends it.

--- a/fleet/entry_context.cpp
+++ b/fleet/entry_context.cpp
@@ -47,7 +47,7 @@
 
 void entry_context::setRunners(const std::vector<listed_runner>& runners)
 {
-    m_runners.setRunners(runners);
+    m_runners.setRunners(runners, steadyNow());
     fillRoom();
 }
 
--- a/serving/runner_directory.cpp
+++ b/serving/runner_directory.cpp
@@ -39,6 +39,10 @@
 // Weight of a new gap; a group has some hundred a second.
 constexpr double gapSmoothing = 0.03;
 
+// Agents answer an entry that has learned of a new process within 0.2 s. After this time the runner is used without a
+// report, since its agent may be down.
+constexpr duration firstReportTime = std::chrono::milliseconds(800);
+
 // Each entry compares its part of the runners, but no fewer than these.
 constexpr std::size_t fewestCompared = 4;
 
@@ -64,12 +68,13 @@
 {
 }
 
-void runner_directory::setRunners(const std::vector<listed_runner>& listings)
+void runner_directory::setRunners(const std::vector<listed_runner>& listings, time_point now)
 {
     std::unordered_map<runner_id, runner_record> known;
     m_byPool.clear();
     for (const listed_runner& listing : listings) {
         runner_record record;
+        record.listedAt = now;
         const auto before = m_runners.find(listing.id);
         const bool isSameProcess = before != m_runners.end() && before->second.listing.startedAtMs == listing.startedAtMs
             && before->second.listing.address == listing.address;
@@ -130,8 +135,18 @@
     return std::min(slots->second, static_cast<std::uint32_t>(group->second.limit));
 }
 
+bool runner_directory::awaitsFirstReport(const runner_record& record, time_point now) const
+{
+    const auto slots = m_slots.find(record.listing.pool);
+    const bool hasAgent = slots != m_slots.end() && slots->second > 0;
+    return hasAgent && !record.load && now - record.listedAt < firstReportTime;
+}
+
 bool runner_directory::isUsable(const runner_record& record, time_point now) const
 {
+    // A list that is older than a loss of power names processes that are gone, and the groups of new ones are forming.
+    if (awaitsFirstReport(record, now))
+        return false;
     if (record.listing.isDraining || record.isReplaced || now < record.avoidUntil)
         return false;
     return !record.load || record.load->isGroupOpen || now - record.load->at > longestAvoidance;
--- a/serving/runner_directory.h
+++ b/serving/runner_directory.h
@@ -23,7 +23,7 @@
     explicit runner_directory(random_source);
 
     // Replaces the list. What was learned of a runner stays while its listing names the same process at the same address.
-    void setRunners(const std::vector<listed_runner>&);
+    void setRunners(const std::vector<listed_runner>&, time_point now);
 
     // Sets the requests that one runner of the pool runs at once; 0 means that runners of the pool take any number.
     void setSlots(const pool_id&, std::uint32_t slots);
@@ -85,6 +85,7 @@
 
     std::uint32_t limitOf(const runner_record&) const;
     bool isCompared(std::size_t poolSize);
+    bool awaitsFirstReport(const runner_record&, time_point now) const;
     bool isUsable(const runner_record&, time_point now) const;
     double groupGapMs(const group_id&) const;
     double score(const runner_record&, time_point now) const;
--- a/serving/runner_record.h
+++ b/serving/runner_record.h
@@ -22,6 +22,8 @@
     };
 
     listed_runner listing;
+    // When this entry first saw the process in the list.
+    time_point listedAt;
     // Requests of this entry in flight.
     std::uint32_t inFlight = 0;
     std::optional<load_sample> load;
--- a/tests/fleet/load_patterns_test.cpp
+++ b/tests/fleet/load_patterns_test.cpp
@@ -113,7 +113,7 @@
             listings.push_back(runner);
         }
         directory.setSlots(m_pool, slots);
-        directory.setRunners(listings);
+        directory.setRunners(listings, at(milliseconds(-5000)));
         return directory;
     }
 
@@ -234,13 +234,47 @@
     runner.pool = m_pool;
     runner.address = "10.0.0.1:80";
     runner.startedAtMs = 1000;
-    directory.setRunners({ runner });
+    directory.setRunners({ runner }, at(milliseconds(0)));
     rank_load report = load(0, 0);
     report.startedAtMs = 2000;
     directory.reportLoad(report, at(milliseconds(0)));
     EXPECT_FALSE(directory.choose(m_pool, {}, at(milliseconds(1))));
 }
 
+// Guards against requests that are refused by one runner after the other when all machines come back from a loss of power:
+// the list still names the former processes, and the groups of the new ones are forming.
+TEST_F(runner_choice_under_load, entryStarts_noReportYet_runnerIsUsedOnceItsGroupIsOpen)
+{
+    runner_directory directory = directoryOf(0, 12);
+    listed_runner runner;
+    runner.id = runner_id("r0");
+    runner.pool = m_pool;
+    runner.address = "10.0.0.1:80";
+    directory.setRunners({ runner }, at(milliseconds(1000)));
+    EXPECT_FALSE(directory.choose(m_pool, {}, at(milliseconds(1050))));
+    EXPECT_GT(directory.placesPerSecond(m_pool), 0);
+    rank_load report = load(0, 0);
+    report.isGroupOpen = false;
+    directory.reportLoad(report, at(milliseconds(1100)));
+    EXPECT_FALSE(directory.choose(m_pool, {}, at(milliseconds(1900))));
+    report.isGroupOpen = true;
+    directory.reportLoad(report, at(milliseconds(2000)));
+    EXPECT_TRUE(directory.choose(m_pool, {}, at(milliseconds(2001))));
+}
+
+// Guards against a runner without an agent, or with one that is down, that never gets a request.
+TEST_F(runner_choice_under_load, agentIsDown_oneSecondAfterListing_runnerIsUsed)
+{
+    runner_directory directory = directoryOf(0, 12);
+    listed_runner runner;
+    runner.id = runner_id("r0");
+    runner.pool = m_pool;
+    runner.address = "10.0.0.1:80";
+    directory.setRunners({ runner }, at(milliseconds(1000)));
+    directory.setRunners({ runner }, at(milliseconds(1700)));
+    EXPECT_TRUE(directory.choose(m_pool, {}, at(milliseconds(2000))));
+}
+
 TEST_F(runner_choice_under_load, allRunnersFull_noRoomIsFound)
 {
     runner_directory directory = directoryOf(8, 12);
