Send callers away for seconds while the store is down at the start

Entries without a configuration told callers to come back after 0.5 s; they did, were refused again and came back no more (98 of 126 from 36 to 38 s).

Change: after 0.3 s without an answer of the store, callers are told to come back after 2.0 to 2.6 s, spread evenly.

Ruled out: to hold the callers at the entry, since nobody knows whether the store returns within their patience; to keep the configuration beside the runners, since these lose power too.

--- a/fleet/entry_context.cpp
+++ b/fleet/entry_context.cpp
@@ -3,6 +3,7 @@
 #include "fleet/event_log.h"
 #include "fleet/request_relay.h"
 #include "fleet/steady_time.h"
+#include "serving/retry_time.h"
 #include "serving/route_index.h"
 #include "serving/serving_configuration.h"
 
@@ -90,6 +91,12 @@
     return m_runners.placesPerSecond(pool) / static_cast<double>(m_entriesAlive);
 }
 
+duration entry_context::retryTimeWithoutConfiguration()
+{
+    const double random = std::uniform_real_distribution<double>()(m_random);
+    return sardinelb::retryTimeWithoutConfiguration(steadyNow() - m_startedAt, random);
+}
+
 void entry_context::wait(const pool_id& pool, const waiting_request& request, std::weak_ptr<request_relay> relay)
 {
     lineOf(pool).add(request);
--- a/fleet/entry_context.h
+++ b/fleet/entry_context.h
@@ -50,6 +50,9 @@
     // Rate at which places of the pool become free for this entry, if all entries get their part.
     double placesPerSecond(const pool_id&) const;
 
+    // Time after which a caller that is refused for want of a configuration should come back.
+    duration retryTimeWithoutConfiguration();
+
     // Puts a request into the line of its pool; it is told by request_relay::placeFound() or waitEnded().
     void wait(const pool_id&, const waiting_request&, std::weak_ptr<request_relay>);
     void stopWaiting(const pool_id&, std::uint64_t ticket);
--- a/fleet/request_relay.cpp
+++ b/fleet/request_relay.cpp
@@ -444,7 +444,7 @@
 
 void request_relay::refuse(const char* why)
 {
-    const duration wait = m_pool.value().empty() ? std::chrono::milliseconds(500) : m_context.lineOf(m_pool).expectedWait(m_context.placesPerSecond(m_pool), steadyNow());
+    const duration wait = m_pool.value().empty() ? m_context.retryTimeWithoutConfiguration() : m_context.lineOf(m_pool).expectedWait(m_context.placesPerSecond(m_pool), steadyNow());
     m_caller->answer(503, platform::ownAnswerFields(m_request.attemptId, wait), "");
     finish("not_run", 503, why);
 }
--- a/tests/fleet/load_patterns_test.cpp
+++ b/tests/fleet/load_patterns_test.cpp
@@ -1,3 +1,4 @@
+#include "serving/retry_time.h"
 #include "serving/runner_directory.h"
 #include "serving/waiting_line.h"
 
@@ -93,6 +94,21 @@
     EXPECT_TRUE(line.isWorthWaiting(waitingFrom(1, milliseconds(0)), 60, at(milliseconds(0))));
 }
 
+class return_of_callers : public testing::Test { };
+
+// Guards against callers who are refused twice by entries that came back from a loss of power while the store is down: they
+// are told to come back after a time in which an outage may end, and not all at once.
+TEST_F(return_of_callers, storeIsDownAtTheStart_comeBackAfterSecondsAndSpread)
+{
+    EXPECT_LE(retryTimeWithoutConfiguration(milliseconds(20), 0.5), milliseconds(500));
+    const duration first = retryTimeWithoutConfiguration(seconds(1), 0);
+    const duration last = retryTimeWithoutConfiguration(seconds(1), 0.999);
+    EXPECT_GE(first, seconds(2));
+    EXPECT_GE(last - first, milliseconds(500));
+    // Callers of streams wait for a third of eight seconds.
+    EXPECT_LE(last, milliseconds(2667));
+}
+
 class runner_choice_under_load : public testing::Test {
 protected:
     runner_choice_under_load()
