Set the limit of a group from its passes and the engine's step time

Change: a pass takes longer than the engine's own steps by a factor that the map and the prompts make; the limit is the number of requests at which the usual pass stays within 0.85 of the objective, set anew every 0.1 s (serving/group_limit). The test of late gaps now reports the load with each gap as agents do, and asks for the same limits as before.

--- a/fleet/entry_context.cpp
+++ b/fleet/entry_context.cpp
@@ -41,7 +41,7 @@
         return;
     m_routes = std::move(routes);
     for (const auto& [pool, profile] : m_routes->configuration().pools)
-        m_runners.setSlots(pool, profile.engine ? profile.engine->slots : 0);
+        m_runners.setEngine(pool, profile.engine);
     m_log.write("configuration", { { "version", static_cast<std::int64_t>(configurationVersion().value()) }, { "routes", static_cast<std::int64_t>(m_routes->configuration().routes.size()) } });
     fillRoom();
 }
--- a/fleet/entry_peers.cpp
+++ b/fleet/entry_peers.cpp
@@ -70,7 +70,7 @@
 void entry_peers::logGroups()
 {
     for (const auto& view : m_entry.runners().groups())
-        m_log.write("group_pace", { { "group", view.group.value() }, { "limit", view.limitPerRank }, { "gap_ms", view.gapMs } });
+        m_log.write("group_pace", { { "group", view.group.value() }, { "limit", static_cast<std::int64_t>(view.limitPerRank) }, { "gap_ms", view.passMs } });
 }
 
 void entry_peers::forgetSilent()
--- a/serving/runner_directory.cpp
+++ b/serving/runner_directory.cpp
@@ -16,28 +16,8 @@
 // A runner that fails every second request counts as if it had this much more work for each request in flight.
 constexpr double failurePenalty = 16;
 
-// Gaps of this time are judged together when the limit of a group is set.
-constexpr duration paceWindow = std::chrono::milliseconds(250);
-constexpr std::uint32_t fewestGaps = 8;
-
-// A gap over this part of its objective counts as late, so that the limit falls before streams are late.
-constexpr double lateGap = 0.9;
-
-// A window with a larger part of late gaps lowers the limit, one with a smaller part raises it. One late gap of some twenty
-// makes a whole stream late.
-constexpr double tooManyLate = 0.03;
-constexpr double fewLate = 0.005;
-constexpr double limitDecrease = 0.9;
-constexpr double limitIncrease = 0.5;
-
-// Below this part of the slots, passes hardly become shorter and much is turned away.
-constexpr double lowestLimit = 0.5;
-
-// A gap between events at which a group counts as neither fast nor slow.
-constexpr double usualGapMs = 60;
-
-// Weight of a new gap; a group has some hundred a second.
-constexpr double gapSmoothing = 0.03;
+// Time of a pass at which a group counts as neither fast nor slow.
+constexpr double neutralPassMs = 60;
 
 // Agents answer an entry that has learned of a new process within 0.2 s. After this time the runner is used without a
 // report, since its agent may be down.
@@ -89,9 +69,15 @@
     m_runners = std::move(known);
 }
 
-void runner_directory::setSlots(const pool_id& pool, std::uint32_t slots)
+void runner_directory::setEngine(const pool_id& pool, const std::optional<engine_profile>& engine)
+{
+    m_engines[pool] = engine;
+}
+
+const engine_profile* runner_directory::engineOf(const pool_id& pool) const
 {
-    m_slots[pool] = slots;
+    const auto found = m_engines.find(pool);
+    return found == m_engines.end() || !found->second ? nullptr : &*found->second;
 }
 
 runner_record* runner_directory::findRecord(const runner_id& id)
@@ -126,19 +112,18 @@
 
 std::uint32_t runner_directory::limitOf(const runner_record& record) const
 {
-    const auto slots = m_slots.find(record.listing.pool);
-    if (slots == m_slots.end() || slots->second == 0)
+    const engine_profile* engine = engineOf(record.listing.pool);
+    if (!engine)
         return std::numeric_limits<std::uint32_t>::max();
     const auto group = m_groups.find(record.group);
     if (group == m_groups.end())
-        return slots->second;
-    return std::min(slots->second, static_cast<std::uint32_t>(group->second.limit));
+        return engine->slots;
+    return std::min(engine->slots, group->second.requestsPerRank());
 }
 
 bool runner_directory::awaitsFirstReport(const runner_record& record, time_point now) const
 {
-    const auto slots = m_slots.find(record.listing.pool);
-    const bool hasAgent = slots != m_slots.end() && slots->second > 0;
+    const bool hasAgent = engineOf(record.listing.pool) != nullptr;
     return hasAgent && !record.load && now - record.listedAt < firstReportTime;
 }
 
@@ -157,8 +142,8 @@
     const double load = record.estimatedLoad(now);
     const double pace = record.load ? std::max(1.0, record.load->pace) : 1.0;
     // All ranks of a group advance together, so a group with long passes is slow on each of its ranks.
-    const double gap = std::max(1.0, groupGapMs(record.group) / usualGapMs);
-    return (load + 1) * pace * gap * (1 + failurePenalty * record.failureRate) * (1 + record.answerMs / 1000);
+    const double pass = std::max(1.0, usualPassMs(record.group) / neutralPassMs);
+    return (load + 1) * pace * pass * (1 + failurePenalty * record.failureRate) * (1 + record.answerMs / 1000);
 }
 
 bool runner_directory::isCompared(std::size_t poolSize)
@@ -212,16 +197,16 @@
 double runner_directory::placesPerSecond(const pool_id& pool) const
 {
     const auto members = m_byPool.find(pool);
-    const auto slots = m_slots.find(pool);
-    if (members == m_byPool.end() || slots == m_slots.end())
+    if (members == m_byPool.end() || !m_engines.contains(pool))
         return 0;
+    const bool hasEngine = engineOf(pool) != nullptr;
     const auto serviceMs = m_serviceMs.find(pool);
     const double seconds = (serviceMs == m_serviceMs.end() ? assumedServiceMs : serviceMs->second) / 1000;
     double places = 0;
     for (const runner_id& id : members->second) {
         const runner_record& record = m_runners.at(id);
         if (!record.listing.isDraining && !record.isReplaced)
-            places += slots->second > 0 ? limitOf(record) : record.listing.slots;
+            places += hasEngine ? limitOf(record) : record.listing.slots;
     }
     return places / seconds;
 }
@@ -250,9 +235,7 @@
     double& service = m_serviceMs[record->listing.pool];
     const double wholeMs = std::chrono::duration<double, std::milli>(timeToAnswer).count();
     service = service == 0 ? wholeMs : smoothed(service, wholeMs);
-    const auto slots = m_slots.find(record->listing.pool);
-    const bool isStreamPool = slots != m_slots.end() && slots->second > 0;
-    if (isStreamPool)
+    if (engineOf(record->listing.pool))
         return;
     record->answerMs = record->answerMs == 0 ? wholeMs : smoothed(record->answerMs, wholeMs);
     firstEvent(id, timeToAnswer);
@@ -301,10 +284,23 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(ms));
 }
 
-double runner_directory::groupGapMs(const group_id& group) const
+double runner_directory::usualPassMs(const group_id& group) const
 {
     const auto known = m_groups.find(group);
-    return known == m_groups.end() ? 0 : known->second.gapMs;
+    return known == m_groups.end() ? 0 : known->second.usualPassMs();
+}
+
+std::optional<double> runner_directory::meanRunning(const group_id& group, time_point now) const
+{
+    double sum = 0;
+    double ranks = 0;
+    for (const auto& [id, record] : m_runners) {
+        if (record.group != group || !record.hasPresentLoad(now))
+            continue;
+        sum += record.estimatedLoad(now);
+        ++ranks;
+    }
+    return ranks > 0 ? std::optional(sum / ranks) : std::nullopt;
 }
 
 void runner_directory::eventGap(const runner_id& id, duration gap, duration objective, time_point now)
@@ -312,33 +308,22 @@
     const runner_record* record = find(id);
     if (!record || record->group.value().empty() || objective == duration {})
         return;
-    group_pace& pace = m_groups[record->group];
-    const auto slots = m_slots.find(record->listing.pool);
-    const double most = slots == m_slots.end() || slots->second == 0 ? 1000 : slots->second;
-    if (pace.limit == 0)
-        pace.limit = most;
-    if (now - pace.windowStart > paceWindow && pace.gaps >= fewestGaps) {
-        const double late = static_cast<double>(pace.lateGaps) / pace.gaps;
-        if (late > tooManyLate)
-            pace.limit = std::max(most * lowestLimit, pace.limit * limitDecrease);
-        else if (late < fewLate)
-            pace.limit = std::min(most, pace.limit + limitIncrease);
-        pace.windowStart = now;
-        pace.gaps = 0;
-        pace.lateGaps = 0;
-    }
-    const double gapMs = std::chrono::duration<double, std::milli>(gap).count();
-    pace.gapMs = pace.gapMs == 0 ? gapMs : pace.gapMs + gapSmoothing * (gapMs - pace.gapMs);
-    ++pace.gaps;
-    if (gap > objective * lateGap)
-        ++pace.lateGaps;
+    const engine_profile* engine = engineOf(record->listing.pool);
+    if (!engine)
+        return;
+    group_limit& limit = m_groups.try_emplace(record->group, engine->slots).first->second;
+    limit.passSeen(gap, objective);
+    if (!limit.isDue(now))
+        return;
+    if (const auto running = meanRunning(record->group, now))
+        limit.update(*engine, *running, now);
 }
 
 std::vector<runner_directory::group_view> runner_directory::groups() const
 {
     std::vector<group_view> views;
-    for (const auto& [group, pace] : m_groups)
-        views.push_back({ group, pace.limit, pace.gapMs });
+    for (const auto& [group, limit] : m_groups)
+        views.push_back({ group, limit.requestsPerRank(), limit.usualPassMs() });
     return views;
 }
 
--- a/serving/runner_directory.h
+++ b/serving/runner_directory.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "serving/attempt_failure.h"
+#include "serving/engine_profile.h"
+#include "serving/group_limit.h"
 #include "serving/listed_runner.h"
 #include "serving/rank_load.h"
 #include "serving/runner_record.h"
@@ -25,8 +27,8 @@
     // Replaces the list. What was learned of a runner stays while its listing names the same process at the same address.
     void setRunners(const std::vector<listed_runner>&, time_point now);
 
-    // Sets the requests that one runner of the pool runs at once; 0 means that runners of the pool take any number.
-    void setSlots(const pool_id&, std::uint32_t slots);
+    // Sets the engine of the pool's model runners. Runners of a pool without one take any number of requests.
+    void setEngine(const pool_id&, const std::optional<engine_profile>&);
 
     // Takes a report of a runner's load. It counts the work of all entries.
     void reportLoad(const rank_load&, time_point now);
@@ -67,27 +69,20 @@
     // What was learned of the groups, for logs and tests.
     struct group_view {
         group_id group;
-        double limitPerRank = 0;
-        double gapMs = 0;
+        std::uint32_t limitPerRank = 0;
+        double passMs = 0;
     };
     std::vector<group_view> groups() const;
 
 private:
-    // Requests that each rank of a group may run so that the group's passes stay short enough for its streams.
-    struct group_pace {
-        double limit = 0;
-        time_point windowStart;
-        std::uint32_t gaps = 0;
-        std::uint32_t lateGaps = 0;
-        // Usual gap, smoothed, in ms. 0 until one was seen.
-        double gapMs = 0;
-    };
-
     std::uint32_t limitOf(const runner_record&) const;
     bool isCompared(std::size_t poolSize);
     bool awaitsFirstReport(const runner_record&, time_point now) const;
     bool isUsable(const runner_record&, time_point now) const;
-    double groupGapMs(const group_id&) const;
+    double usualPassMs(const group_id&) const;
+    // Mean number of requests that the ranks of a group run, by their reports. Nothing if there is no present one.
+    std::optional<double> meanRunning(const group_id&, time_point now) const;
+    const engine_profile* engineOf(const pool_id&) const;
     double score(const runner_record&, time_point now) const;
     runner_record* findRecord(const runner_id&);
 
@@ -95,8 +90,9 @@
     std::size_t m_entryCount = 1;
     std::unordered_map<runner_id, runner_record> m_runners;
     std::unordered_map<pool_id, std::vector<runner_id>> m_byPool;
-    std::unordered_map<pool_id, std::uint32_t> m_slots;
-    std::unordered_map<group_id, group_pace> m_groups;
+    // Also has the pools without an engine.
+    std::unordered_map<pool_id, std::optional<engine_profile>> m_engines;
+    std::unordered_map<group_id, group_limit> m_groups;
     // By pool, smoothed, in ms.
     std::unordered_map<pool_id, double> m_firstAnswerMs;
     std::unordered_map<pool_id, double> m_serviceMs;
--- a/serving/runner_record.h
+++ b/serving/runner_record.h
@@ -39,6 +39,9 @@
     // No work before this time, because attempts failed.
     time_point avoidUntil;
 
+    // Whether the last report is recent enough to say something about the present.
+    bool hasPresentLoad(time_point now) const;
+
     // Requests that the runner has from all entries, as far as is known.
     std::uint32_t estimatedLoad(time_point now) const;
 };
--- a/tests/fleet/load_patterns_test.cpp
+++ b/tests/fleet/load_patterns_test.cpp
@@ -128,11 +128,30 @@
             runner.slots = 6;
             listings.push_back(runner);
         }
-        directory.setSlots(m_pool, slots);
+        directory.setEngine(m_pool, slots > 0 ? std::optional(engineWith(slots)) : std::nullopt);
         directory.setRunners(listings, at(milliseconds(-5000)));
         return directory;
     }
 
+    listed_runner runnerStartedAt(std::uint64_t unixMs) const
+    {
+        listed_runner runner;
+        runner.id = runner_id("r0");
+        runner.pool = m_pool;
+        runner.address = "10.0.0.1:80";
+        runner.startedAtMs = unixMs;
+        return runner;
+    }
+
+    static engine_profile engineWith(std::uint32_t slots)
+    {
+        engine_profile engine;
+        engine.slots = slots;
+        engine.stepMs = 4.55;
+        engine.stepMsPerRequest = 0.905;
+        return engine;
+    }
+
     rank_load load(std::size_t runner, std::uint32_t running, double pace = 1)
     {
         rank_load result;
@@ -179,18 +198,36 @@
 TEST_F(runner_choice_under_load, groupWithLateGaps_limitFallsAndRecovers)
 {
     runner_directory directory = directoryOf(8, 12);
-    for (std::size_t i = 0; i < 8; ++i)
-        directory.reportLoad(load(i, 12), at(milliseconds(0)));
-    const auto feed = [&](milliseconds gap, milliseconds from, milliseconds until) {
-        for (milliseconds now = from; now < until; now += milliseconds(10))
+    const auto feed = [&](std::uint32_t running, milliseconds gap, milliseconds from, milliseconds until) {
+        for (milliseconds now = from; now < until; now += milliseconds(10)) {
+            for (std::size_t i = 0; i < 8; ++i)
+                directory.reportLoad(load(i, running), at(now));
             directory.eventGap(runner_id("r1"), gap, milliseconds(120), at(now));
+        }
     };
-    feed(milliseconds(200), milliseconds(0), seconds(2));
+    feed(12, milliseconds(200), milliseconds(0), seconds(2));
     EXPECT_LT(directory.groups().front().limitPerRank, 8);
-    feed(milliseconds(60), seconds(2), seconds(8));
+    feed(6, milliseconds(60), seconds(2), seconds(8));
     EXPECT_EQ(directory.groups().front().limitPerRank, 12);
 }
 
+// Guards against a limit that needs seconds to follow a map that fits the demand badly; demand moves every 3 to 4 s.
+TEST_F(runner_choice_under_load, passesTwiceAsLong_halfASecondLater_limitKeepsThemInTheObjective)
+{
+    runner_directory directory = directoryOf(8, 12);
+    const auto stepMs = [](double running) { return 4.55 + 0.905 * running; };
+    for (milliseconds now { 0 }; now < milliseconds(500); now += milliseconds(10)) {
+        for (std::size_t i = 0; i < 8; ++i)
+            directory.reportLoad(load(i, 10), at(now));
+        // Four steps a pass, and the busiest rank takes 2.3 times the mean.
+        const auto pass = milliseconds(static_cast<std::int64_t>(4 * 2.3 * stepMs(10)));
+        directory.eventGap(runner_id("r1"), pass, milliseconds(120), at(now));
+    }
+    const std::uint32_t limit = directory.groups().front().limitPerRank;
+    EXPECT_LE(4 * 2.3 * stepMs(limit), 120);
+    EXPECT_GE(limit, 6U);
+}
+
 // Guards against a grey runner that keeps its share of the requests because it fails quickly.
 TEST_F(runner_choice_under_load, runnerThatFailsHalf_othersHealthy_getsFewRequests)
 {
@@ -245,12 +282,7 @@
 TEST_F(runner_choice_under_load, agentReportsNewerProcess_listStillNamesTheOld_getsNoRequests)
 {
     runner_directory directory = directoryOf(0, 12);
-    listed_runner runner;
-    runner.id = runner_id("r0");
-    runner.pool = m_pool;
-    runner.address = "10.0.0.1:80";
-    runner.startedAtMs = 1000;
-    directory.setRunners({ runner }, at(milliseconds(0)));
+    directory.setRunners({ runnerStartedAt(1000) }, at(milliseconds(0)));
     rank_load report = load(0, 0);
     report.startedAtMs = 2000;
     directory.reportLoad(report, at(milliseconds(0)));
@@ -262,11 +294,7 @@
 TEST_F(runner_choice_under_load, entryStarts_noReportYet_runnerIsUsedOnceItsGroupIsOpen)
 {
     runner_directory directory = directoryOf(0, 12);
-    listed_runner runner;
-    runner.id = runner_id("r0");
-    runner.pool = m_pool;
-    runner.address = "10.0.0.1:80";
-    directory.setRunners({ runner }, at(milliseconds(1000)));
+    directory.setRunners({ runnerStartedAt(0) }, at(milliseconds(1000)));
     EXPECT_FALSE(directory.choose(m_pool, {}, at(milliseconds(1050))));
     EXPECT_GT(directory.placesPerSecond(m_pool), 0);
     rank_load report = load(0, 0);
@@ -282,12 +310,8 @@
 TEST_F(runner_choice_under_load, agentIsDown_oneSecondAfterListing_runnerIsUsed)
 {
     runner_directory directory = directoryOf(0, 12);
-    listed_runner runner;
-    runner.id = runner_id("r0");
-    runner.pool = m_pool;
-    runner.address = "10.0.0.1:80";
-    directory.setRunners({ runner }, at(milliseconds(1000)));
-    directory.setRunners({ runner }, at(milliseconds(1700)));
+    directory.setRunners({ runnerStartedAt(0) }, at(milliseconds(1000)));
+    directory.setRunners({ runnerStartedAt(0) }, at(milliseconds(1700)));
     EXPECT_TRUE(directory.choose(m_pool, {}, at(milliseconds(2000))));
 }
 
