--- a/expert_map/map_switch.cpp
+++ b/expert_map/map_switch.cpp
@@ -244,47 +244,71 @@
     forgetIfStopped(now);
     if (sent.epoch != m_epoch)
         return;
-    const bool isAccepted = result == map_order_result::Accepted;
-    const bool isUnanswered = result == map_order_result::Unanswered;
-    if (m_stage == stage::Preparing && sent.what == map_order::kind::Prepare && sent.version == m_version) {
-        // A rank that has prepared the map after a late order refuses the repetition.
-        if (isUnanswered)
-            m_orders.push_back(sent);
-        else if (!isAccepted && m_ranks[sent.rank].prepared != m_version && !m_isRepeated)
-            abandon(shortPause, now);
-        m_isRepeated = m_isRepeated || isUnanswered;
-    } else if (m_stage == stage::Holding && sent.what == map_order::kind::Hold && sent.step == m_step) {
-        // A coordinator that was stopped for a while may have been replaced.
-        const bool isTimely = now - m_stageSince <= holdTime;
-        if (isAccepted && isTimely) {
+    if (m_stage == stage::Preparing && sent.what == map_order::kind::Prepare && sent.version == m_version)
+        prepareAnswered(sent, result, now);
+    else if (m_stage == stage::Holding && sent.what == map_order::kind::Hold && sent.step == m_step)
+        holdAnswered(sent, result, now);
+    else if (m_stage == stage::Arming && sent.what == map_order::kind::Arm && sent.version == m_version)
+        armAnswered(sent, result, now);
+    else if (m_stage == stage::TakingBack)
+        m_lastAnswer[sent.rank] = now;
+}
+
+void map_switch::prepareAnswered(const map_order& sent, map_order_result result, time_point now)
+{
+    if (result == map_order_result::Unanswered) {
+        m_orders.push_back(sent);
+        m_isRepeated = true;
+        return;
+    }
+    // A rank that has prepared the map after a late order refuses the repetition.
+    const bool isRefused = result == map_order_result::Refused && m_ranks[sent.rank].prepared != m_version;
+    if (isRefused && !m_isRepeated)
+        abandon(shortPause, now);
+}
+
+void map_switch::holdAnswered(const map_order& sent, map_order_result result, time_point now)
+{
+    // A coordinator that was stopped for a while may have been replaced.
+    const bool isTimely = now - m_stageSince <= holdTime;
+    switch (result) {
+    case map_order_result::Accepted:
+        if (isTimely)
             startArming(now);
-        } else if (result == map_order_result::Refused && isTimely && ++m_holdTries < mostHoldTries) {
+        else
+            abandon(longPause, now);
+        return;
+    case map_order_result::Refused:
+        if (isTimely && ++m_holdTries < mostHoldTries)
             startHolding(now);
-        } else if (result == map_order_result::Refused) {
+        else
             abandon(shortPause, now);
-        } else if (isUnanswered && isTimely) {
+        return;
+    case map_order_result::Unanswered:
+        if (isTimely)
             m_orders.push_back(sent);
-        } else {
+        else
             abandon(longPause, now);
-        }
-    } else if (m_stage == stage::Arming && sent.what == map_order::kind::Arm && sent.version == m_version) {
-        const bool isTimely = now - m_stageSince <= armTime;
-        if (isUnanswered && isTimely) {
-            m_orders.push_back(sent);
-            return;
-        }
-        if (!isAccepted || !isTimely) {
-            startTakingBack(now);
-            return;
-        }
-        m_armed.insert(sent.rank);
-        if (m_armed.size() == m_groupSize)
-            startRelease(now);
-    } else if (m_stage == stage::TakingBack) {
-        m_lastAnswer[sent.rank] = now;
+        return;
     }
 }
 
+void map_switch::armAnswered(const map_order& sent, map_order_result result, time_point now)
+{
+    const bool isTimely = now - m_stageSince <= armTime;
+    if (result == map_order_result::Unanswered && isTimely) {
+        m_orders.push_back(sent);
+        return;
+    }
+    if (result != map_order_result::Accepted || !isTimely) {
+        startTakingBack(now);
+        return;
+    }
+    m_armed.insert(sent.rank);
+    if (m_armed.size() == m_groupSize)
+        startRelease(now);
+}
+
 void map_switch::advance(time_point now, bool isLeading)
 {
     forgetIfStopped(now);
--- a/expert_map/map_switch.h
+++ b/expert_map/map_switch.h
@@ -74,6 +74,9 @@
     void startArming(time_point now);
     void startRelease(time_point now);
     void startTakingBack(time_point now);
+    void prepareAnswered(const map_order&, map_order_result, time_point now);
+    void holdAnswered(const map_order&, map_order_result, time_point now);
+    void armAnswered(const map_order&, map_order_result, time_point now);
     void advancePreparing(time_point now);
     void advanceHolding(time_point now);
     void advanceArming(time_point now);
