Close the connections of peer links when they are destroyed

Open connections, those in their handshake included, went on and called hooks of an owner that was gone; the write, silence and timeout coroutines did not keep the implementation alive. Now the destructor closes every connection and no hook is called from then on; each coroutine keeps the implementation. A test destroys links with an open connection and one in its handshake (not run against the old code). The proof is now sent while the thread is blocked, as its comment says.

--- a/tests/error/peer_links_test.cpp
+++ b/tests/error/peer_links_test.cpp
@@ -11,6 +11,7 @@
 #include <cstring>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace sardinelb {
@@ -178,10 +179,14 @@
     listen();
     auto first = connectAs(entry);
     ASSERT_TRUE(waitForEvents({ "connected entry-0" }));
-    auto second = dialAs(entry);
-    // While this blocks the network thread, the proof of the new connection and frames of the old one arrive.
+    auto second = raw_connection::to(port);
+    const auto challenge = readChallenge(readLengthPrefixed(second));
+    const std::string proof = withLengthPrefix(makeProof(key, true, entry, challenge.value(), makeNonce()));
+    // While this blocks the network thread, the proof of the new connection and frames of the old one arrive. The proof is
+    // sent here, because otherwise the new connection could be the one that is reset.
     net.run([&] {
         links->reset(entry.daemon);
+        second.send(proof);
         first.send(cancelFrame(entry, 1) + cancelFrame(entry, 2));
         return 0;
     });
@@ -265,6 +270,27 @@
     EXPECT_TRUE(waitForEvents({ "connected entry-0", "lost entry-0" }));
 }
 
+// Guards against hooks that are called after their owner is gone.
+TEST_F(peer_links_test, linksDestroyedWithOpenConnectionsCallNoHook)
+{
+    limits.handshakeTimeout = std::chrono::milliseconds(50);
+    limits.heartbeatInterval = std::chrono::milliseconds(20);
+    limits.silenceTimeout = std::chrono::milliseconds(40);
+    listen();
+    auto inHandshake = raw_connection::to(port);
+    readLengthPrefixed(inHandshake);
+    auto peer = connectAs(entry);
+    ASSERT_TRUE(waitForEvents({ "connected entry-0" }));
+    net.run([this] {
+        links.reset();
+        return 0;
+    });
+    EXPECT_EQ(inHandshake.receiveAll(), "");
+    peer.send(cancelFrame(entry, 1));
+    std::this_thread::sleep_for(std::chrono::milliseconds(150));
+    EXPECT_EQ(events.read(recorded), std::vector<std::string> { "connected entry-0" });
+}
+
 // Guards against a connection that is established although disconnect() was called during its handshake.
 TEST_F(peer_links_test, hangUpDuringTheHandshakeEndsIt)
 {
--- a/transport/peer_links.cpp
+++ b/transport/peer_links.cpp
@@ -22,6 +22,7 @@
 #include <map>
 #include <random>
 #include <utility>
+#include <vector>
 
 namespace sardinelb {
 
@@ -100,6 +101,10 @@
     {
     }
 
+    // Closes everything and calls no handler from then on. Coroutines that still run end by themselves.
+    void shutDown();
+    connection_ptr createConnection(tcp::socket);
+
     asio::awaitable<void> acceptLoop();
     asio::awaitable<void> serveAccepted(connection_ptr);
     asio::awaitable<void> dialLoop(daemon_id, std::uint64_t generation);
@@ -124,11 +129,37 @@
     link_limits limits;
     config_version version;
     std::map<daemon_id, connection_ptr> connections;
+    // All connections, including those whose handshake is not complete.
+    std::vector<std::weak_ptr<connection>> open;
+    bool isShutDown = false;
     std::map<daemon_id, dialled_peer> dialled;
     std::uint64_t lastGeneration = 0;
     std::minstd_rand jitter;
 };
 
+void peer_links::implementation::shutDown()
+{
+    isShutDown = true;
+    boost::system::error_code ignored;
+    acceptor.close(ignored);
+    dialled.clear();
+    connections.clear();
+    handlers = { [](const peer_identity&) {}, [](const daemon_id&) {}, [](const daemon_id&, const frame&) {}, nullptr, nullptr,
+        [](const transport_error&) {}, [](const transport_error&) {} };
+    for (const auto& known : open) {
+        if (const connection_ptr link = known.lock())
+            link->close();
+    }
+}
+
+peer_links::implementation::connection_ptr peer_links::implementation::createConnection(tcp::socket socket)
+{
+    const auto link = std::make_shared<connection>(std::move(socket));
+    std::erase_if(open, [](const auto& known) { return known.expired(); });
+    open.push_back(link);
+    return link;
+}
+
 asio::awaitable<void> peer_links::implementation::acceptLoop()
 {
     const auto keepAlive = shared_from_this();
@@ -136,8 +167,8 @@
         auto [error, socket] = co_await acceptor.async_accept(asTuple);
         if (error == asio::error::operation_aborted)
             co_return;
-        if (!error)
-            asio::co_spawn(io, serveAccepted(std::make_shared<connection>(std::move(socket))), asio::detached);
+        if (!error && !isShutDown)
+            asio::co_spawn(io, serveAccepted(createConnection(std::move(socket))), asio::detached);
     }
 }
 
@@ -152,12 +183,15 @@
         handlers.onRejected(peer.error());
         co_return;
     }
+    if (link->isClosed)
+        co_return;
     link->peer = peer.value();
     co_await serve(link);
 }
 
 asio::awaitable<void> peer_links::implementation::enforceHandshakeTimeout(connection_ptr link)
 {
+    const auto keepAlive = shared_from_this();
     link->deadline.expires_after(limits.handshakeTimeout);
     auto [error] = co_await link->deadline.async_wait(asTuple);
     if (!error)
@@ -241,6 +275,7 @@
 
 asio::awaitable<void> peer_links::implementation::serve(connection_ptr link)
 {
+    const auto keepAlive = shared_from_this();
     boost::system::error_code ignored;
     link->socket.set_option(tcp::no_delay(true), ignored);
     const bool idle = handlers.isIdle && handlers.isIdle(link->peer.daemon);
@@ -276,6 +311,7 @@
 
 asio::awaitable<void> peer_links::implementation::writeLoop(connection_ptr link)
 {
+    const auto keepAlive = shared_from_this();
     while (!link->isClosed) {
         if (link->outgoing.empty()) {
             link->writable.expires_after(link->heartbeatInterval);
@@ -296,6 +332,7 @@
 
 asio::awaitable<void> peer_links::implementation::watchForSilence(connection_ptr link)
 {
+    const auto keepAlive = shared_from_this();
     while (!link->isClosed) {
         link->deadline.expires_after(link->heartbeatInterval);
         co_await link->deadline.async_wait(asTuple);
@@ -348,7 +385,7 @@
 asio::awaitable<bool> peer_links::implementation::dialOnce(
     const daemon_id& daemon, std::uint64_t generation, const socket_address& address)
 {
-    const auto link = std::make_shared<connection>(tcp::socket(io));
+    const auto link = createConnection(tcp::socket(io));
     asio::co_spawn(io, enforceHandshakeTimeout(link), asio::detached);
     const tcp::endpoint endpoint(asio::ip::make_address(address.ip), address.port);
     auto [error] = co_await link->socket.async_connect(endpoint, asTuple);
@@ -384,9 +421,7 @@
 
 peer_links::~peer_links()
 {
-    boost::system::error_code ignored;
-    m_implementation->acceptor.close(ignored);
-    m_implementation->dialled.clear();
+    m_implementation->shutDown();
 }
 
 transport_result<std::uint16_t> peer_links::listen(const socket_address& address)
--- a/transport/peer_links.h
+++ b/transport/peer_links.h
@@ -38,6 +38,7 @@
     };
 
     peer_links(net_thread&, peer_identity self, std::string sharedKey, hooks, link_limits = {});
+    // Closes all connections. No hook is called during or after this.
     ~peer_links();
     peer_links(const peer_links&) = delete;
     peer_links& operator=(const peer_links&) = delete;
