Reserve the ports of the entry tests while the test runs

Ports now lie below the ephemeral range, and each stays bound at 127.0.0.2 while the process lives, so that test processes see each other's.

--- a/tests/fleet/entry_fixture.h
+++ b/tests/fleet/entry_fixture.h
@@ -8,6 +8,7 @@
 #include "relay/http_request_message.h"
 #include "relay/http_response_head.h"
 #include "relay/runner_exchange.h"
+#include "tests/support/port_reservation.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -57,6 +58,9 @@
     return {};
 }
 
+// Ports that an entry uses for traffic between daemons.
+inline constexpr std::uint16_t peerPorts = 4;
+
 // An entry, a store and runners in one thread, connected by loopback sockets.
 class entry_fixture : public testing::Test {
 protected:
@@ -68,7 +72,7 @@
         m_settings.callerAddress = freeAddress();
         m_settings.readyAddress = freeAddress();
         m_settings.storeAddress = freeAddress();
-        m_settings.firstPeerPort = freePeerPorts();
+        m_settings.firstPeerPort = port_reservation::reserve(peerPorts);
         m_settings.retries = { 0.2, 88, std::chrono::seconds(10) };
         m_configuration = defaultConfiguration();
     }
@@ -220,15 +224,7 @@
 
     static std::string freeAddress()
     {
-        boost::asio::io_context context;
-        boost::asio::ip::tcp::acceptor acceptor(context, { boost::asio::ip::make_address("127.0.0.1"), 0 });
-        return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-    }
-
-    static std::uint16_t freePeerPorts()
-    {
-        const std::string address = freeAddress();
-        return static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
+        return "127.0.0.1:" + std::to_string(port_reservation::reserve(1));
     }
 
     boost::asio::io_context m_context;
