--- a/expert_map/expert_demand.cpp
+++ b/expert_map/expert_demand.cpp
@@ -1,5 +1,7 @@
 #include "expert_map/expert_demand.h"
 
+#include "expert_map/demand_accumulator.h"
+
 #include <cmath>
 
 namespace sardinelb {
@@ -36,15 +38,16 @@
     m_recentTotal *= recent;
 }
 
-void expert_demand::report(const std::vector<std::uint16_t>& choices, time_point now)
+void expert_demand::report(const scaled_choices& choices, time_point now)
 {
-    if (choices.size() != m_recent.size())
+    if (choices.values.size() != m_recent.size())
         return;
     decay(now);
-    for (std::size_t i = 0; i < choices.size(); ++i) {
-        m_recent[i] += choices[i];
-        m_longTerm[i] += choices[i];
-        m_recentTotal += choices[i];
+    for (std::size_t i = 0; i < choices.values.size(); ++i) {
+        const double count = static_cast<double>(choices.values[i]) * choices.scale;
+        m_recent[i] += count;
+        m_longTerm[i] += count;
+        m_recentTotal += count;
     }
 }
 
--- a/expert_map/expert_demand.h
+++ b/expert_map/expert_demand.h
@@ -7,6 +7,8 @@
 
 namespace sardinelb {
 
+struct scaled_choices;
+
 // Estimates how often each expert of each set is chosen, from the counts of all ranks. Recent choices weigh most,
 // since demand shifts within seconds; a long-term average is mixed in, because much of the demand does not depend on the
 // content of the requests. Pure state machine.
@@ -14,8 +16,8 @@
 public:
     expert_demand(std::uint32_t sets, std::uint32_t experts);
 
-    // Adds how often a rank chose each expert since its last report, set by set. Ignored if the size does not match.
-    void report(const std::vector<std::uint16_t>& choices, time_point now);
+    // Adds how often some ranks chose each expert since their last report. Ignored if the size does not match.
+    void report(const scaled_choices&, time_point now);
 
     // Share of the traffic by set and expert; each set sums to 1. Equal shares while nothing is known.
     std::vector<std::vector<double>> popularity() const;
--- a/expert_map/map_order.h
+++ b/expert_map/map_order.h
@@ -30,6 +30,9 @@
     step_number step;
     // Set only for Prepare.
     std::shared_ptr<const expert_placement> placement;
+    // The map in use, to which a prepare order may refer. Set only for Prepare.
+    std::shared_ptr<const expert_placement> basePlacement = nullptr;
+    map_version base {};
 };
 
 }
--- a/expert_map/map_switch.cpp
+++ b/expert_map/map_switch.cpp
@@ -165,7 +165,12 @@
 
 void map_switch::queueOrder(map_order::kind action, rank_id rank, map_version version, step_number step, std::shared_ptr<const expert_placement> placement)
 {
-    m_orders.push_back({ action, rank, m_epoch, version, step, std::move(placement) });
+    map_order order { action, rank, m_epoch, version, step, std::move(placement) };
+    if (order.placement) {
+        order.basePlacement = m_basePlacement;
+        order.base = m_ranks.begin()->second.map;
+    }
+    m_orders.push_back(std::move(order));
 }
 
 std::vector<map_order> map_switch::takeOrders()
@@ -183,6 +188,7 @@
     }
     m_version = nextVersion();
     m_placement = std::make_shared<expert_placement>(placement);
+    m_basePlacement = placementInUse();
     m_copyTime = copyTime;
     m_holdAttempts = 0;
     m_hasResentPrepare = false;
@@ -223,6 +229,7 @@
 {
     m_rollbackVersion = nextVersion();
     m_placement = placementInUse();
+    m_basePlacement = m_placement;
     enterStage(stage::RollingBack, now);
     advanceRollback(now);
 }
--- a/expert_map/map_switch.h
+++ b/expert_map/map_switch.h
@@ -114,6 +114,8 @@
     map_version m_rollbackVersion;
     step_number m_step;
     std::shared_ptr<const expert_placement> m_placement;
+    // The map in use when m_placement was chosen.
+    std::shared_ptr<const expert_placement> m_basePlacement;
     duration m_copyTime {};
     std::uint32_t m_holdAttempts = 0;
     std::set<rank_id> m_armedRanks;
--- a/fleet/agent_process.cpp
+++ b/fleet/agent_process.cpp
@@ -1,9 +1,12 @@
 #include "fleet/agent_process.h"
 
+#include "fleet/demand_reporting.h"
 #include "fleet/event_log.h"
 #include "fleet/fleet_message.h"
 #include "fleet/group_coordinator.h"
 #include "fleet/http_listener.h"
+#include "fleet/map_order_dispatcher.h"
+#include "fleet/map_order_executor.h"
 #include "fleet/peer_ports.h"
 #include "fleet/process_metrics.h"
 #include "fleet/steady_time.h"
@@ -25,21 +28,45 @@
 
 namespace {
 
-// Interval of the reports by which entries judge a runner's load.
+// Shortest interval of the reports by which entries judge a runner's load, and of those to the coordinators.
 constexpr std::chrono::milliseconds reportInterval { 100 };
 
+// Extends the interval of the load reports, so that an agent sends at most 80 a second however many entries there are.
+constexpr duration reportIntervalPerEntry = std::chrono::microseconds(12500);
+
+// Extends the interval of the reports to the coordinators, so that a coordinator gets at most 700 a second.
+constexpr duration reportIntervalPerRank = std::chrono::microseconds(1430);
+
+// One in this many reports to the coordinators lists the experts of the rank, in case those sent after a change were lost.
+constexpr std::uint32_t reportsPerExpertList = 10;
+
+// Reports after a change of the rank's experts that list them.
+constexpr std::uint32_t expertListRepetitions = 2;
+
+// Interval of the demand routes that a coordinator sends.
+constexpr duration demandRouteInterval = std::chrono::seconds(1);
+
+// Fraction of its link that a coordinator uses for demand reports.
+constexpr double demandLinkFraction = 0.25;
+
+// A collector of demand that has been silent for this long is passed over.
+constexpr duration collectorTimeout = std::chrono::milliseconds(1000);
+
 // Interval of reading the runner during a map switch, because each step of a switch waits for reports from all ranks.
 constexpr std::chrono::milliseconds mapSwitchReportInterval { 25 };
 
 // A rank that is not armed within this time after it prepared a map belongs to an abandoned switch.
 constexpr duration preparedMapTimeout = std::chrono::seconds(1);
 
-// One in this many load reports lists the known entries, so that entries discover each other.
-constexpr std::uint32_t reportsPerEntryList = 10;
+// Interval of the load reports that list the known entries, so that entries discover each other.
+constexpr duration entryListInterval = std::chrono::seconds(1);
 
-// Entries and agents that are silent for this long are removed. Heartbeats arrive twice a second.
+// Entries that are silent for this long are removed. Heartbeats arrive twice a second.
 constexpr duration peerTimeout = std::chrono::milliseconds(1700);
 
+// Candidates for coordinator are removed when no entry has heard of them for this long. News of them takes two heartbeats.
+constexpr duration candidateTimeout = std::chrono::milliseconds(2500);
+
 // The standby coordinator takes over when no report of the coordinator, sent ten times a second, has arrived for this long.
 constexpr duration coordinatorTimeout = std::chrono::milliseconds(500);
 
@@ -84,14 +111,25 @@
     // Last report of the local rank.
     std::optional<rank_message> localReport;
     std::optional<platform::held_experts> heldExperts;
-    platform::expert_choices previousChoices;
-    std::uint32_t reportCount = 0;
+    demand_reporting demand;
+    // The coordinator that sent the last demand route.
+    std::optional<udp::endpoint> demandCoordinator;
+    // When the next load report with the list of entries is due.
+    time_point nextEntryListAt;
     // When the next load report to the entries is due.
-    time_point nextReportAt;
+    time_point nextLoadReportAt;
+    // When the next report to the coordinators is due even if nothing changes.
+    time_point nextRankReportAt;
+    std::uint32_t rankReportCount = 0;
+    std::uint32_t expertListsDue = 0;
+    map_order_executor orderExecutor;
     bool isRunnerCopying = false;
     // When the runner first reported the map that it currently has prepared.
     time_point preparedAt;
     std::unique_ptr<group_coordinator> coordinator;
+    // Exists while `coordinator` does.
+    std::unique_ptr<map_order_dispatcher> dispatcher;
+    time_point nextDemandRoutesAt;
     // When the last report of each rank arrived.
     std::map<rank_id, time_point> lastHeardAt;
     bool isActiveCoordinator = false;
@@ -102,17 +140,27 @@
     bool isSwitching() const;
     void onDatagram(std::string_view bytes, const udp::endpoint& from);
     void onHeartbeat(const entry_heartbeat_message&, const udp::endpoint& from);
-    void onRunnerReport(std::optional<platform::runner_report>, bool isReportDue);
+    void onRankReport(const rank_message&);
+    void onDemandReport(const demand_report_message&);
+    void onDelegatedOrder(const delegated_order_message&, const udp::endpoint& from);
+    void readRunner();
+    void onRunnerReport(std::optional<platform::runner_report>);
     void readExperts();
-    void readChoices();
-    void updateChoices(platform::expert_choices&&);
+    void reportDemand();
+    void sendDemand(const demand_reporting::outgoing&);
+    void sendDemandRoutes();
+    duration loadReportInterval() const;
+    duration rankReportInterval() const;
+    bool isRankReportDue(const rank_status& before) const;
     void sendLoadToEntries(const platform::runner_report&);
     void sendReportToCoordinators();
+    void sendToAgent(const std::string& runnerAddress, const fleet_message&);
+    void resetCoordinator();
     std::vector<rank_id> coordinatorCandidates() const;
     bool canCoordinate(time_point now) const;
     void updateCoordinator();
     void startCoordinator();
-    void sendOrder(const map_order&);
+    void sendOrderToRunner(const map_order&);
     void pollSilentRanks();
     std::string addressOf(rank_id) const;
     void removeSilent();
@@ -162,22 +210,24 @@
 {
     scheduleTick();
     removeSilent();
-    const time_point now = steadyNow();
-    const bool isReportDue = now >= nextReportAt;
-    if (isReportDue) {
-        nextReportAt = now + reportInterval;
-        ++reportCount;
-        readChoices();
-    }
-    runner.readReport(options.runnerAddress, [this, isReportDue](std::optional<platform::runner_report> report) { onRunnerReport(std::move(report), isReportDue); });
+    if (demand.isReportDue(steadyNow()))
+        reportDemand();
+    readRunner();
+    if (dispatcher)
+        dispatcher->advance(steadyNow());
     updateCoordinator();
 }
 
+void agent_process::implementation::readRunner()
+{
+    runner.readReport(options.runnerAddress, [this](std::optional<platform::runner_report> report) { onRunnerReport(std::move(report)); });
+}
+
 void agent_process::implementation::removeSilent()
 {
     const time_point now = steadyNow();
     std::erase_if(entries, [&](const auto& entry) { return now - entry.second.lastHeardAt > peerTimeout; });
-    std::erase_if(members, [&](const auto& entry) { return now - entry.second.lastHeardAt > peerTimeout; });
+    std::erase_if(members, [&](const auto& entry) { return now - entry.second.lastHeardAt > candidateTimeout; });
 }
 
 void agent_process::implementation::onDatagram(std::string_view bytes, const udp::endpoint& from)
@@ -187,14 +237,63 @@
         log.write("datagram_unreadable", { { "from", from.address().to_string() } });
         return;
     }
-    if (const auto* heartbeat = std::get_if<entry_heartbeat_message>(&*message))
+    if (const auto* heartbeat = std::get_if<entry_heartbeat_message>(&*message)) {
         onHeartbeat(*heartbeat, from);
-    else if (const auto* rank = std::get_if<rank_message>(&*message); rank && coordinator && localReport && rank->group == localReport->group) {
-        lastHeardAt[rank->status.rank] = steadyNow();
-        coordinator->onReport(*rank, steadyNow());
+    } else if (const auto* rank = std::get_if<rank_message>(&*message)) {
+        onRankReport(*rank);
+    } else if (const auto* report = std::get_if<demand_report_message>(&*message)) {
+        onDemandReport(*report);
+    } else if (const auto* route = std::get_if<demand_route_message>(&*message)) {
+        demand.setRoute(*route, steadyNow());
+        demandCoordinator = from;
+    } else if (const auto* order = std::get_if<delegated_order_message>(&*message)) {
+        onDelegatedOrder(*order, from);
+    } else if (const auto* result = std::get_if<delegated_result_message>(&*message); result && dispatcher) {
+        dispatcher->onDelegatedResult(*result, steadyNow());
     }
 }
 
+void agent_process::implementation::onRankReport(const rank_message& message)
+{
+    if (!coordinator || !localReport || message.group != localReport->group)
+        return;
+    lastHeardAt[message.status.rank] = steadyNow();
+    if (!message.address.empty())
+        addresses[message.status.rank] = message.address;
+    coordinator->onReport(message, steadyNow());
+}
+
+void agent_process::implementation::onDemandReport(const demand_report_message& message)
+{
+    // A coordinator uses reports at once; a collector adds them to its next one.
+    if (coordinator && isActiveCoordinator)
+        coordinator->onDemand(message, steadyNow());
+    else
+        demand.onReport(message);
+}
+
+void agent_process::implementation::onDelegatedOrder(const delegated_order_message& message, const udp::endpoint& from)
+{
+    const bool isForThisRank = localReport && message.group == localReport->group && message.order.rank == localReport->status.rank;
+    if (!isForThisRank)
+        return;
+    const auto order = orderExecutor.complete(message);
+    if (!order) {
+        socket->send(encode(delegated_result_message { message.id, delegated_result_message::outcome::BaseUnknown }), from);
+        return;
+    }
+    runner.send(options.runnerAddress, *order, [this, from, id = message.id, order = *order](map_order_result result) {
+        using outcome = delegated_result_message::outcome;
+        const bool isAccepted = result == map_order_result::Accepted;
+        if (isAccepted && order.action == map_order::kind::Prepare)
+            orderExecutor.onPrepared(order, localReport->status.map);
+        const outcome answer = isAccepted ? outcome::Accepted : result == map_order_result::Refused ? outcome::Refused
+                                                                                                    : outcome::Unanswered;
+        socket->send(encode(delegated_result_message { id, answer }), from);
+        readRunner();
+    });
+}
+
 void agent_process::implementation::onHeartbeat(const entry_heartbeat_message& heartbeat, const udp::endpoint& from)
 {
     const time_point now = steadyNow();
@@ -207,19 +306,43 @@
     if (!localReport || heartbeat.group != localReport->group)
         return;
     for (const auto& member : heartbeat.members) {
-        members[member.rank] = { member.address, now };
+        known_member& known = members[member.rank];
+        if (now - member.age >= known.lastHeardAt)
+            known = { member.address, now - member.age };
         addresses[member.rank] = member.address;
     }
     if (heartbeat.expertsPerRank > 0)
         limits = { heartbeat.expertsPerRank, heartbeat.newExpertsPerRank, heartbeat.expertCopyTime, heartbeat.slots };
 }
 
-void agent_process::implementation::onRunnerReport(std::optional<platform::runner_report> report, bool isReportDue)
+duration agent_process::implementation::loadReportInterval() const
+{
+    return std::max<duration>(reportInterval, reportIntervalPerEntry * entries.size());
+}
+
+duration agent_process::implementation::rankReportInterval() const
+{
+    return std::max<duration>(reportInterval, reportIntervalPerRank * localReport->groupSize);
+}
+
+bool agent_process::implementation::isRankReportDue(const rank_status& before) const
+{
+    const rank_status& status = localReport->status;
+    // Each stage of a map switch waits for all ranks, so these changes are reported at once.
+    const bool isChanged = status.epoch != before.epoch || status.map != before.map || status.prepared != before.prepared || status.armed != before.armed
+        || status.held != before.held || status.isOpen != before.isOpen;
+    return isChanged || steadyNow() >= nextRankReportAt;
+}
+
+void agent_process::implementation::onRunnerReport(std::optional<platform::runner_report> report)
 {
     if (!report)
         return;
-    if (isReportDue)
+    const time_point now = steadyNow();
+    if (now >= nextLoadReportAt) {
+        nextLoadReportAt = now + loadReportInterval();
         sendLoadToEntries(*report);
+    }
     isRunnerCopying = report->isCopying;
     if (report->groupSize == 0)
         return;
@@ -228,52 +351,91 @@
     message.groupSize = report->groupSize;
     message.status = report->status;
     message.running = report->load.running;
-    if (localReport && localReport->status.epoch == message.status.epoch)
-        message.choices = std::move(localReport->choices);
-    if (!localReport || localReport->status.prepared != message.status.prepared)
-        preparedAt = steadyNow();
+    message.address = options.runnerAddress;
+    const rank_status before = localReport ? std::move(localReport->status) : rank_status {};
+    if (!localReport || before.prepared != message.status.prepared)
+        preparedAt = now;
     localReport = std::move(message);
+    demand.setGroup(localReport->group, localReport->status.epoch);
     const bool areHeldExpertsCurrent = heldExperts && heldExperts->epoch == localReport->status.epoch && heldExperts->map == localReport->status.map;
     if (areHeldExpertsCurrent)
         localReport->status.expertsBySet = heldExperts->experts;
     else
         readExperts();
-    sendReportToCoordinators();
+    // The coordinator beside this runner follows it closely, since the pass to hold is chosen from its steps.
+    if (coordinator)
+        coordinator->onReport(*localReport, now);
+    if (isRankReportDue(before))
+        sendReportToCoordinators();
 }
 
 void agent_process::implementation::readExperts()
 {
     runner.readExperts(options.runnerAddress, [this](std::optional<platform::held_experts> response) {
-        if (response)
-            heldExperts = std::move(response);
+        if (!response)
+            return;
+        heldExperts = std::move(response);
+        expertListsDue = expertListRepetitions;
+        nextRankReportAt = {};
     });
 }
 
-void agent_process::implementation::readChoices()
+void agent_process::implementation::reportDemand()
 {
-    runner.readChoices(options.runnerAddress, [this](std::optional<platform::expert_choices> response) {
-        if (response && localReport && response->epoch == localReport->status.epoch)
-            updateChoices(std::move(*response));
+    if (!localReport)
+        return;
+    runner.readChoices(options.runnerAddress, [this](const std::optional<platform::expert_choices>& response) {
+        if (response)
+            demand.onCounters(response->choices, response->epoch);
+        if (const auto report = demand.takeReport(steadyNow()))
+            sendDemand(*report);
     });
 }
 
-void agent_process::implementation::updateChoices(platform::expert_choices&& current)
+void agent_process::implementation::sendDemand(const demand_reporting::outgoing& outgoing)
 {
-    const std::vector<std::uint32_t>& previous = previousChoices.choices;
-    const bool hasBaseline = previousChoices.epoch == current.epoch && previous.size() == current.choices.size();
-    if (hasBaseline) {
-        localReport->choices.assign(previous.size(), 0);
-        for (std::size_t i = 0; i < previous.size(); ++i)
-            localReport->choices[i] = static_cast<std::uint16_t>(std::min<std::uint32_t>(current.choices[i] - std::min(previous[i], current.choices[i]), UINT16_MAX));
+    if (coordinator && isActiveCoordinator)
+        coordinator->onDemand(outgoing.report, steadyNow());
+    else if (!outgoing.collector.empty())
+        sendToAgent(outgoing.collector, outgoing.report);
+    else if (demandCoordinator)
+        socket->send(encode(outgoing.report), *demandCoordinator);
+}
+
+void agent_process::implementation::sendDemandRoutes()
+{
+    const time_point now = steadyNow();
+    if (!isActiveCoordinator || now < nextDemandRoutesAt)
+        return;
+    nextDemandRoutesAt = now + demandRouteInterval;
+    constexpr double bytesPerSecondPerMegabit = 125000;
+    const demand_route route = coordinator->demandRoute(options.linkMegabitsPerSecond * bytesPerSecondPerMegabit * demandLinkFraction);
+    demand_route_message message { localReport->group, localReport->status.epoch, "", route.interval };
+    for (const auto& [rank, address] : addresses) {
+        const rank_id collector = route.collectorOf(rank);
+        const auto heard = lastHeardAt.find(collector);
+        const bool isCollected = collector != rank && heard != lastHeardAt.end() && now - heard->second <= collectorTimeout;
+        message.collector = isCollected ? addressOf(collector) : std::string();
+        if (rank == localReport->status.rank)
+            demand.setRoute(message, now);
+        else
+            sendToAgent(address, message);
     }
-    previousChoices = std::move(current);
+}
+
+void agent_process::implementation::sendToAgent(const std::string& runnerAddress, const fleet_message& message)
+{
+    if (const auto to = udpEndpoint(runnerAddress, options.firstPeerPort + agentDatagramPortOffset))
+        socket->send(encode(message), *to);
 }
 
 void agent_process::implementation::sendLoadToEntries(const platform::runner_report& report)
 {
     load_message message;
     message.load = report.load;
-    if (reportCount % reportsPerEntryList == 0) {
+    const time_point now = steadyNow();
+    if (now >= nextEntryListAt) {
+        nextEntryListAt = now + entryListInterval;
         for (const auto& [ip, entry] : entries)
             message.entryAddresses.push_back(ip);
     }
@@ -297,18 +459,17 @@
 
 void agent_process::implementation::sendReportToCoordinators()
 {
-    if (!localReport || localReport->status.expertsBySet.empty())
-        return;
-    const std::vector<rank_id> coordinatorRanks = coordinatorCandidates();
-    for (const rank_id rank : coordinatorRanks) {
-        if (rank == localReport->status.rank) {
-            if (coordinator)
-                coordinator->onReport(*localReport, steadyNow());
-        } else if (const auto to = udpEndpoint(members.at(rank).address, options.firstPeerPort + agentDatagramPortOffset)) {
-            socket->send(encode(*localReport), *to);
-        }
-        // Only the first candidate plans maps, so only it needs the choices.
-        localReport->choices.clear();
+    nextRankReportAt = steadyNow() + rankReportInterval();
+    rank_message message = *localReport;
+    // The ranks send their lists at different times.
+    const bool isListDue = (++rankReportCount + message.status.rank.value()) % reportsPerExpertList == 0;
+    if (expertListsDue > 0)
+        --expertListsDue;
+    else if (!isListDue)
+        message.status.expertsBySet.clear();
+    for (const rank_id rank : coordinatorCandidates()) {
+        if (rank != localReport->status.rank)
+            sendToAgent(members.at(rank).address, message);
     }
 }
 
@@ -330,7 +491,17 @@
 
 void agent_process::implementation::startCoordinator()
 {
-    coordinator = std::make_unique<group_coordinator>(localReport->group, localReport->status.rank, localReport->groupSize, log, group_coordinator::hooks { [this](const map_order& order) { sendOrder(order); } });
+    const rank_id local = localReport->status.rank;
+    map_order_dispatcher::hooks delivery;
+    delivery.sendDirectly = [this](const map_order& order) { sendOrderToRunner(order); };
+    delivery.sendToAgent = [this](const delegated_order_message& message) { sendToAgent(addressOf(message.order.rank), message); };
+    delivery.onResult = [this](const map_order& order, map_order_result result) { coordinator->onOrderResult(order, result, steadyNow()); };
+    dispatcher = std::make_unique<map_order_dispatcher>(localReport->group, local, std::move(delivery));
+    const auto sendOrder = [this](const map_order& order) {
+        metrics.count("map_order");
+        dispatcher->dispatch(order, steadyNow());
+    };
+    coordinator = std::make_unique<group_coordinator>(localReport->group, local, localReport->groupSize, log, group_coordinator::hooks { sendOrder });
     // Starts the silence timeout of the lower ranks now.
     const time_point now = steadyNow();
     for (const rank_id rank : coordinatorCandidates())
@@ -346,7 +517,7 @@
     const bool isCandidate = !members.empty() && std::find(candidates.begin(), candidates.end(), localReport->status.rank) != candidates.end();
     const bool isBusy = coordinator && coordinator->isBusy();
     if (!isCandidate && !isBusy)
-        coordinator.reset();
+        resetCoordinator();
     if (isCandidate && !coordinator)
         startCoordinator();
     const bool isNowActive = coordinator && canCoordinate(now);
@@ -357,6 +528,7 @@
         return;
     coordinator->setLimits(limits);
     coordinator->advance(now, isActiveCoordinator);
+    sendDemandRoutes();
     if (isActiveCoordinator || coordinator->isBusy())
         pollSilentRanks();
 }
@@ -369,12 +541,20 @@
     return known == addresses.end() ? std::string() : known->second;
 }
 
-void agent_process::implementation::sendOrder(const map_order& order)
+void agent_process::implementation::resetCoordinator()
+{
+    coordinator.reset();
+    dispatcher.reset();
+}
+
+void agent_process::implementation::sendOrderToRunner(const map_order& order)
 {
-    metrics.count("map_order");
     runner.send(addressOf(order.rank), order, [this, order](map_order_result result) {
-        if (coordinator)
-            coordinator->onOrderResult(order, result, steadyNow());
+        const bool isOwnPrepare = order.action == map_order::kind::Prepare && localReport && order.rank == localReport->status.rank;
+        if (isOwnPrepare && result == map_order_result::Accepted)
+            orderExecutor.onPrepared(order, localReport->status.map);
+        if (dispatcher)
+            dispatcher->onDirectResult(order, result);
     });
 }
 
@@ -384,7 +564,7 @@
         runner.readReport(addressOf(rank), [this](std::optional<platform::runner_report> report) {
             if (!report || !coordinator || report->load.group != localReport->group)
                 return;
-            coordinator->onReport({ report->load.group, report->groupSize, report->status, report->load.running, {} }, steadyNow());
+            coordinator->onReport({ report->load.group, report->groupSize, report->status, report->load.running, addressOf(report->status.rank) }, steadyNow());
         });
     }
 }
--- a/fleet/entry_peers.cpp
+++ b/fleet/entry_peers.cpp
@@ -2,15 +2,16 @@
 
 #include "fleet/entry_context.h"
 #include "fleet/event_log.h"
-#include "fleet/fleet_message.h"
 #include "fleet/peer_ports.h"
 #include "fleet/steady_time.h"
 #include "relay/endpoint.h"
 #include "relay/udp_socket.h"
 #include "serving/route_index.h"
+#include "serving/runner_followers.h"
 #include "serving/serving_configuration.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace sardinelb {
 
@@ -27,6 +28,12 @@
 constexpr duration entryTimeout = std::chrono::milliseconds(2500);
 constexpr duration agentTimeout = std::chrono::milliseconds(1000);
 
+// Heartbeats carry news of the candidates for coordinator from entry to entry.
+constexpr duration candidateTimeout = std::chrono::milliseconds(1600);
+
+// The coordinator of a group, its standby, and one that follows when both fail.
+constexpr std::size_t candidatesPerGroup = 3;
+
 std::string ipOf(const std::string& address)
 {
     return address.substr(0, address.rfind(':'));
@@ -58,7 +65,9 @@
 void entry_peers::tick()
 {
     removeSilent();
-    sendHeartbeats();
+    updateFollowedRunners();
+    sendVersions();
+    sendToAgents();
     logGroups();
     m_timer.expires_after(heartbeatInterval);
     m_timer.async_wait([this](const boost::system::error_code& error) {
@@ -82,9 +91,20 @@
     }
     std::erase_if(m_entries, [&](const auto& entry) { return now - entry.second > entryTimeout; });
     std::erase_if(m_agents, [&](const auto& entry) { return now - entry.second.lastHeardAt > agentTimeout; });
+    for (auto& [group, candidates] : m_candidates)
+        std::erase_if(candidates, [&](const auto& entry) { return now - entry.second.heardAt > candidateTimeout; });
+    std::erase_if(m_candidates, [](const auto& entry) { return entry.second.empty(); });
     m_entry.setEntriesAlive(m_entries.size() + 1);
 }
 
+void entry_peers::updateFollowedRunners()
+{
+    std::vector<std::string> entries { m_settings.ip };
+    for (const auto& [ip, at] : m_entries)
+        entries.push_back(ip);
+    m_entry.runners().setFollowed(followedRunners(m_entry.runners().modelRunnerAddresses(), m_settings.ip, entries));
+}
+
 bool entry_peers::isStorePoller() const
 {
     const auto lowerAddresses = std::count_if(m_entries.begin(), m_entries.end(), [&](const auto& entry) { return entry.first < m_settings.ip; });
@@ -94,10 +114,11 @@
 void entry_peers::announceStop()
 {
     m_isStopping = true;
-    sendHeartbeats();
+    sendVersions();
+    sendToAgents();
 }
 
-void entry_peers::sendHeartbeats()
+entry_heartbeat_message entry_peers::createHeartbeat() const
 {
     const known_versions local = m_hooks.localVersions();
     entry_heartbeat_message heartbeat;
@@ -107,12 +128,14 @@
     heartbeat.runnerDigest = local.runnerDigest;
     heartbeat.runnerListAge = local.runnerListAge;
     heartbeat.isStopping = m_isStopping;
-    sendToEntries(heartbeat);
-    sendToAgents(heartbeat);
+    return heartbeat;
 }
 
-void entry_peers::sendToEntries(const entry_heartbeat_message& heartbeat)
+void entry_peers::sendVersions()
 {
+    entry_heartbeat_message heartbeat = createHeartbeat();
+    for (const auto& [group, candidates] : m_candidates)
+        heartbeat.groups.push_back({ group, candidatesOf(group) });
     const std::string bytes = encode(heartbeat);
     for (const auto& [ip, at] : m_entries) {
         if (const auto to = udpEndpoint(ip + ":0", m_settings.firstPeerPort + entryDatagramPortOffset))
@@ -120,14 +143,15 @@
     }
 }
 
-void entry_peers::sendToAgents(const entry_heartbeat_message& heartbeat)
+void entry_peers::sendToAgents()
 {
     if (!m_entry.routes())
         return;
+    const entry_heartbeat_message heartbeat = createHeartbeat();
     const auto& pools = m_entry.routes()->configuration().pools;
     for (const auto& [id, record] : m_entry.runners().runners()) {
         const auto pool = pools.find(record.listing.pool);
-        if (pool == pools.end() || !pool->second.engine)
+        if (pool == pools.end() || !pool->second.engine || !record.isFollowed)
             continue;
         entry_heartbeat_message message = heartbeat;
         setGroup(message, id, record.listing.pool);
@@ -136,16 +160,37 @@
     }
 }
 
+std::vector<entry_heartbeat_message::member> entry_peers::candidatesOf(const group_id& group) const
+{
+    std::vector<entry_heartbeat_message::member> members;
+    const auto known = m_candidates.find(group);
+    if (known == m_candidates.end())
+        return members;
+    const time_point now = steadyNow();
+    for (const auto& [rank, candidate] : known->second)
+        members.push_back({ rank, candidate.address, now - candidate.heardAt });
+    return members;
+}
+
+void entry_peers::addCandidate(const group_id& group, rank_id rank, const std::string& address, time_point heardAt)
+{
+    if (group.value().empty() || steadyNow() - heardAt > candidateTimeout)
+        return;
+    auto& candidates = m_candidates[group];
+    coordinator_candidate& known = candidates[rank];
+    if (heardAt >= known.heardAt)
+        known = { address, heardAt };
+    if (candidates.size() > candidatesPerGroup)
+        candidates.erase(std::prev(candidates.end()));
+}
+
 void entry_peers::setGroup(entry_heartbeat_message& message, const runner_id& runner, const pool_id& pool) const
 {
     const auto agent = m_agents.find(runner);
     if (agent == m_agents.end())
         return;
     message.group = agent->second.load.group;
-    for (const auto& [id, other] : m_agents) {
-        if (other.load.group == message.group)
-            message.members.push_back({ other.load.rank, other.address });
-    }
+    message.members = candidatesOf(message.group);
     const engine_profile& engine = *m_entry.routes()->configuration().pools.at(pool).engine;
     message.expertsPerRank = engine.expertsPerRank;
     message.newExpertsPerRank = engine.newExpertsPerRank;
@@ -183,6 +228,11 @@
         return;
     }
     addEntry(ip);
+    const time_point now = steadyNow();
+    for (const auto& group : heartbeat.groups) {
+        for (const auto& member : group.members)
+            addCandidate(group.group, member.rank, member.address, now - member.age);
+    }
     m_hooks.onPeerVersions(ip, { heartbeat.configuration, heartbeat.runnerList, heartbeat.runnerDigest, heartbeat.runnerListAge });
 }
 
@@ -202,6 +252,7 @@
         load.runner = id;
         m_entry.runners().onLoadReport(load, now);
         m_agents[id] = { load, record.listing.address, now };
+        addCandidate(load.group, load.rank, record.listing.address, now);
         m_entry.dispatchWaiting(record.listing.pool);
         return;
     }
--- a/fleet/entry_peers.h
+++ b/fleet/entry_peers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleet/fleet_message.h"
 #include "platform/settings.h"
 #include "serving/rank_load.h"
 #include "state/ids.h"
@@ -11,6 +12,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -21,7 +23,6 @@
 class udp_socket;
 class entry_context;
 class event_log;
-struct entry_heartbeat_message;
 struct load_message;
 
 // Exchanges heartbeats and load reports with the other entries and the agents. Entries find agents through the list of
@@ -48,8 +49,8 @@
     // Returns false, with `problem` set, if the port cannot be bound.
     bool start(std::string& problem);
 
-    // Sends a heartbeat to all entries and agents immediately, as after a change. Also runs twice a second.
-    void sendHeartbeats();
+    // Tells all entries which versions this one holds, as after a change. Also runs twice a second.
+    void sendVersions();
 
     // Whether this is one of the few entries that poll the list of runners from the store for all. Depends only on the
     // addresses of the live entries, so that all entries agree.
@@ -65,16 +66,24 @@
         time_point lastHeardAt;
     };
 
+    struct coordinator_candidate {
+        std::string address;
+        time_point heardAt;
+    };
+
     void tick();
     void onDatagram(std::string_view bytes, const boost::asio::ip::udp::endpoint& from);
     void onHeartbeat(const entry_heartbeat_message&, const std::string& ip);
     void onLoadReport(const load_message&, const std::string& ip);
     void addEntry(const std::string& ip);
-    void sendToAgents(const entry_heartbeat_message&);
-    void sendToEntries(const entry_heartbeat_message&);
+    entry_heartbeat_message createHeartbeat() const;
+    void sendToAgents();
+    void updateFollowedRunners();
     void removeSilent();
     void logGroups();
     void setGroup(entry_heartbeat_message&, const runner_id&, const pool_id&) const;
+    std::vector<entry_heartbeat_message::member> candidatesOf(const group_id&) const;
+    void addCandidate(const group_id&, rank_id, const std::string& address, time_point heardAt);
 
     boost::asio::io_context& m_context;
     const platform::settings& m_settings;
@@ -86,6 +95,8 @@
     // Other entries by IP address, with the time of their last heartbeat or first mention.
     std::map<std::string, time_point> m_entries;
     std::unordered_map<runner_id, known_agent> m_agents;
+    // The lowest ranks of each group that are alive, as heard from their agents or from other entries.
+    std::map<group_id, std::map<rank_id, coordinator_candidate>> m_candidates;
     bool m_isStopping = false;
 };
 
--- a/fleet/entry_process.cpp
+++ b/fleet/entry_process.cpp
@@ -275,7 +275,7 @@
         const bool isNewer = configuration->version > entry.configurationVersion();
         entry.setConfiguration(std::make_shared<route_index>(configuration));
         if (isNewer)
-            peers.sendHeartbeats();
+            peers.sendVersions();
     }
 }
 
@@ -321,7 +321,7 @@
     appliedDigest = listing.digest();
     entry.setRunners(runners);
     if (isChanged)
-        peers.sendHeartbeats();
+        peers.sendVersions();
     const auto expiry = listing.nextExpiry();
     if (!expiry)
         return;
--- a/fleet/fleet_message.cpp
+++ b/fleet/fleet_message.cpp
@@ -8,18 +8,36 @@
 
 namespace wire = fleet_wire;
 
+std::uint32_t milliseconds(duration time)
+{
+    return static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
 struct encoder {
     flatbuffers::FlatBufferBuilder& builder;
 
+    using member_offsets = std::vector<flatbuffers::Offset<wire::group_member>>;
+
+    member_offsets createMembers(const std::vector<entry_heartbeat_message::member>& members) const
+    {
+        member_offsets offsets;
+        for (const auto& member : members)
+            offsets.push_back(wire::Creategroup_memberDirect(builder, member.rank.value(), member.address.c_str(), milliseconds(member.age)));
+        return offsets;
+    }
+
     void operator()(const entry_heartbeat_message& message) const
     {
-        std::vector<flatbuffers::Offset<wire::group_member>> members;
-        for (const auto& member : message.members)
-            members.push_back(wire::Creategroup_memberDirect(builder, member.rank.value(), member.address.c_str()));
+        const member_offsets members = createMembers(message.members);
+        std::vector<flatbuffers::Offset<wire::group_candidates>> groups;
+        for (const auto& group : message.groups) {
+            const member_offsets candidates = createMembers(group.members);
+            groups.push_back(wire::Creategroup_candidatesDirect(builder, group.group.value().c_str(), &candidates));
+        }
         const auto body = wire::Createentry_beatDirect(builder, message.daemon.value().c_str(), message.configuration.value(),
             message.runnerList.value(), message.runnerDigest,
-            static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(message.runnerListAge).count()), message.isStopping, message.group.value().c_str(), &members,
-            message.expertsPerRank, message.newExpertsPerRank, static_cast<std::uint64_t>(message.expertCopyTime.count()), message.slots);
+            milliseconds(message.runnerListAge), message.isStopping, message.group.value().c_str(), &members,
+            message.expertsPerRank, message.newExpertsPerRank, static_cast<std::uint64_t>(message.expertCopyTime.count()), message.slots, &groups);
         finish(wire::datagram_body::entry_beat, body.Union());
     }
 
@@ -46,10 +64,44 @@
         const auto body = wire::Createrank_reportDirect(builder, message.group.value().c_str(), status.rank.value(), message.groupSize,
             status.epoch, status.step.value(), status.map.value(), status.prepared.value_or(map_version {}).value(), status.prepared.has_value(),
             status.armed.value_or(map_version {}).value(), status.armed.has_value(), status.held.value_or(step_number {}).value(),
-            status.held.has_value(), status.isOpen, status.pace, message.running, &counts, &experts, &message.choices);
+            status.held.has_value(), status.isOpen, status.pace, message.running, &counts, &experts, message.address.c_str());
         finish(wire::datagram_body::rank_report, body.Union());
     }
 
+    void operator()(const demand_report_message& message) const
+    {
+        const auto body = wire::Createdemand_reportDirect(builder, message.group.value().c_str(), message.epoch, message.choices.scale, &message.choices.values);
+        finish(wire::datagram_body::demand_report, body.Union());
+    }
+
+    void operator()(const demand_route_message& message) const
+    {
+        const auto body = wire::Createdemand_routeDirect(builder, message.group.value().c_str(), message.epoch, message.collector.c_str(), milliseconds(message.interval));
+        finish(wire::datagram_body::demand_route, body.Union());
+    }
+
+    void operator()(const delegated_order_message& message) const
+    {
+        const map_order& order = message.order;
+        std::vector<std::uint16_t> changes;
+        for (const auto& change : message.delta.changes) {
+            changes.push_back(change.set);
+            changes.push_back(change.rank);
+            changes.push_back(static_cast<std::uint16_t>(change.experts.size()));
+            changes.insert(changes.end(), change.experts.begin(), change.experts.end());
+        }
+        const auto body = wire::Createdelegated_orderDirect(builder, message.id, message.group.value().c_str(), order.rank.value(), order.epoch,
+            static_cast<std::uint8_t>(order.action), order.version.value(), order.step.value(), message.base.has_value(), message.base.value_or(map_version {}).value(),
+            message.sets, message.experts, message.ranks, &changes);
+        finish(wire::datagram_body::delegated_order, body.Union());
+    }
+
+    void operator()(const delegated_result_message& message) const
+    {
+        const auto body = wire::Createdelegated_result(builder, message.id, static_cast<std::uint8_t>(message.result));
+        finish(wire::datagram_body::delegated_result, body.Union());
+    }
+
     void finish(wire::datagram_body type, flatbuffers::Offset<void> body) const
     {
         builder.Finish(wire::Createdatagram(builder, type, body));
@@ -61,6 +113,17 @@
     return value ? value->str() : std::string();
 }
 
+template <typename Members>
+std::vector<entry_heartbeat_message::member> readMembers(const Members* members)
+{
+    std::vector<entry_heartbeat_message::member> result;
+    if (!members)
+        return result;
+    for (const auto* member : *members)
+        result.push_back({ rank_id(member->rank()), text(member->address()), std::chrono::milliseconds(member->age_ms()) });
+    return result;
+}
+
 fleet_message read(const wire::entry_beat& body)
 {
     entry_heartbeat_message message;
@@ -71,9 +134,10 @@
     message.runnerListAge = std::chrono::milliseconds(body.list_age_ms());
     message.isStopping = body.stopping();
     message.group = group_id(text(body.group()));
-    if (body.members()) {
-        for (const auto* member : *body.members())
-            message.members.push_back({ rank_id(member->rank()), text(member->address()) });
+    message.members = readMembers(body.members());
+    if (body.groups()) {
+        for (const auto* group : *body.groups())
+            message.groups.push_back({ group_id(text(group->group())), readMembers(group->members()) });
     }
     message.expertsPerRank = body.places_per_rank();
     message.newExpertsPerRank = body.new_per_rank();
@@ -133,11 +197,67 @@
     status.isOpen = body.open();
     status.pace = body.pace();
     readExperts(body, status);
+    message.address = text(body.address());
+    return message;
+}
+
+fleet_message read(const wire::demand_report& body)
+{
+    demand_report_message message { group_id(text(body.group())), body.epoch(), {} };
+    message.choices.scale = body.scale();
     if (body.choices())
-        message.choices.assign(body.choices()->begin(), body.choices()->end());
+        message.choices.values.assign(body.choices()->begin(), body.choices()->end());
     return message;
 }
 
+fleet_message read(const wire::demand_route& body)
+{
+    return demand_route_message { group_id(text(body.group())), body.epoch(), text(body.collector()), std::chrono::milliseconds(body.interval_ms()) };
+}
+
+placement_delta readDelta(const flatbuffers::Vector<std::uint16_t>* values)
+{
+    // Each change starts with the set, the rank and the number of experts.
+    constexpr std::size_t changeHeadSize = 3;
+    placement_delta delta;
+    std::size_t next = 0;
+    const std::vector<std::uint16_t> numbers = values ? std::vector<std::uint16_t>(values->begin(), values->end()) : std::vector<std::uint16_t>();
+    while (next + changeHeadSize <= numbers.size()) {
+        const std::size_t count = numbers[next + 2];
+        const std::size_t end = next + changeHeadSize + count;
+        if (end > numbers.size())
+            break;
+        const auto experts = numbers.begin() + static_cast<std::ptrdiff_t>(next + changeHeadSize);
+        delta.changes.push_back({ numbers[next], numbers[next + 1], { experts, experts + static_cast<std::ptrdiff_t>(count) } });
+        next = end;
+    }
+    return delta;
+}
+
+std::optional<fleet_message> read(const wire::delegated_order& body)
+{
+    if (body.action() > static_cast<std::uint8_t>(map_order::kind::Release))
+        return std::nullopt;
+    delegated_order_message message;
+    message.id = body.id();
+    message.group = group_id(text(body.group()));
+    message.order = { static_cast<map_order::kind>(body.action()), rank_id(body.rank()), body.epoch(), map_version(body.version()), step_number(body.step()), {} };
+    if (body.has_base())
+        message.base = map_version(body.base());
+    message.sets = body.sets();
+    message.experts = body.experts();
+    message.ranks = body.ranks();
+    message.delta = readDelta(body.changes());
+    return message;
+}
+
+std::optional<fleet_message> read(const wire::delegated_result& body)
+{
+    if (body.result() > static_cast<std::uint8_t>(delegated_result_message::outcome::BaseUnknown))
+        return std::nullopt;
+    return delegated_result_message { body.id(), static_cast<delegated_result_message::outcome>(body.result()) };
+}
+
 }
 
 std::string encode(const fleet_message& message)
@@ -163,6 +283,14 @@
         return read(*datagram->body_as_load_report());
     case wire::datagram_body::rank_report:
         return read(*datagram->body_as_rank_report());
+    case wire::datagram_body::demand_report:
+        return read(*datagram->body_as_demand_report());
+    case wire::datagram_body::demand_route:
+        return read(*datagram->body_as_demand_route());
+    case wire::datagram_body::delegated_order:
+        return read(*datagram->body_as_delegated_order());
+    case wire::datagram_body::delegated_result:
+        return read(*datagram->body_as_delegated_result());
     case wire::datagram_body::NONE:
         break;
     }
--- a/fleet/fleet_message.h
+++ b/fleet/fleet_message.h
@@ -1,6 +1,10 @@
 #pragma once
 
 #include "expert_map/rank_status.h"
+#include "fleet/delegated_order_message.h"
+#include "fleet/delegated_result_message.h"
+#include "fleet/demand_report_message.h"
+#include "fleet/demand_route_message.h"
 #include "serving/rank_load.h"
 #include "state/ids.h"
 #include "state/time.h"
@@ -16,11 +20,18 @@
 
 // Heartbeat of an entry to the other entries and the agents.
 struct entry_heartbeat_message {
-    // A runner of the receiver's group whose agent has been heard of recently.
+    // A runner whose agent was heard of `age` ago.
     struct member {
         rank_id rank;
         // IP address and port of the runner.
         std::string address;
+        duration age {};
+    };
+
+    // The lowest ranks of a group, whose agents coordinate its expert map.
+    struct group_candidates {
+        group_id group;
+        std::vector<member> members;
     };
 
     daemon_id daemon;
@@ -31,7 +42,9 @@
     // Time since the store last confirmed the list, directly or through other entries.
     duration runnerListAge {};
     bool isStopping = false;
-    // This and the fields below are set for agents whose group the entry knows.
+    // Groups that the sender knows. Empty for agents.
+    std::vector<group_candidates> groups;
+    // This and the fields below are set for agents whose group the entry knows. The members are the lowest ranks.
     group_id group;
     std::vector<member> members;
     // Limits of the group's expert maps; 0 while unknown.
@@ -55,11 +68,11 @@
     rank_status status;
     // Requests running on the rank.
     std::uint32_t running = 0;
-    // Times each expert was chosen since the previous message, set by set. Empty if there is nothing new.
-    std::vector<std::uint16_t> choices;
+    // IP address and port of the rank's runner.
+    std::string address;
 };
 
-using fleet_message = std::variant<entry_heartbeat_message, load_message, rank_message>;
+using fleet_message = std::variant<entry_heartbeat_message, load_message, rank_message, demand_report_message, demand_route_message, delegated_order_message, delegated_result_message>;
 
 std::string encode(const fleet_message&);
 
--- a/fleet/group_coordinator.cpp
+++ b/fleet/group_coordinator.cpp
@@ -1,6 +1,7 @@
 #include "fleet/group_coordinator.h"
 
 #include "expert_map/switch_planner.h"
+#include "fleet/demand_report_message.h"
 #include "fleet/event_log.h"
 #include "fleet/fleet_message.h"
 
@@ -76,15 +77,29 @@
     rank_status status = message.status;
     status.receivedAt = now;
     m_running[status.rank] = message.running;
-    const auto sets = static_cast<std::uint32_t>(status.expertsBySet.size());
-    if (sets > 0 && !message.choices.empty()) {
-        if (!m_demand)
-            m_demand.emplace(sets, static_cast<std::uint32_t>(message.choices.size() / sets));
-        m_demand->report(message.choices, now);
-    }
     m_switch.onReport(status);
 }
 
+void group_coordinator::onDemand(const demand_report_message& message, time_point now)
+{
+    if (m_switch.ranks().empty())
+        return;
+    const rank_status& first = m_switch.ranks().begin()->second;
+    const auto sets = static_cast<std::uint32_t>(first.expertsBySet.size());
+    if (sets == 0 || message.epoch != first.epoch || message.choices.values.empty())
+        return;
+    m_expertCount = message.choices.values.size();
+    if (!m_demand)
+        m_demand.emplace(sets, static_cast<std::uint32_t>(m_expertCount / sets));
+    m_demand->report(message.choices, now);
+}
+
+demand_route group_coordinator::demandRoute(double bytesPerSecond) const
+{
+    // A count takes one byte.
+    return chooseDemandRoute(m_groupSize, m_expertCount, bytesPerSecond);
+}
+
 void group_coordinator::onOrderResult(const map_order& order, map_order_result result, time_point now)
 {
     const auto previousStage = m_switch.currentStage();
--- a/fleet/group_coordinator.h
+++ b/fleet/group_coordinator.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "expert_map/demand_route.h"
 #include "expert_map/expert_demand.h"
 #include "expert_map/map_switch.h"
 #include "expert_map/placement_planner.h"
@@ -16,6 +17,7 @@
 namespace sardinelb {
 
 class event_log;
+struct demand_report_message;
 struct rank_message;
 
 // Adapts the expert map of one group to the demand, while this process is the group's coordinator.
@@ -41,6 +43,14 @@
     // Processes the report of a rank.
     void onReport(const rank_message&, time_point now);
 
+    // Processes a report of the demand of some ranks. Ignored if it is from another epoch.
+    void onDemand(const demand_report_message&, time_point now);
+
+    // How the demand should reach this coordinator with at most `bytesPerSecond`.
+    demand_route demandRoute(double bytesPerSecond) const;
+
+    std::uint32_t groupSize() const { return m_groupSize; }
+
     void onOrderResult(const map_order&, map_order_result, time_point now);
 
     // Advances the switch in progress and plans the next one. Must be called ten times a second. A standby coordinator, which
@@ -66,6 +76,8 @@
     std::uint32_t m_groupSize;
     map_switch m_switch;
     std::optional<expert_demand> m_demand;
+    // Number of experts in all sets. 0 until a demand report has arrived.
+    std::size_t m_expertCount = 0;
     // Requests running on each rank.
     std::map<rank_id, std::uint32_t> m_running;
     time_point m_plannedAt;
--- /dev/null
+++ b/fleet/map_order_dispatcher.cpp
@@ -0,0 +1,134 @@
+#include "fleet/map_order_dispatcher.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace sardinelb {
+
+namespace {
+
+// Covers an agent's own timeout for its runner, the link and a turn of the processor.
+constexpr duration agentTimeout = std::chrono::milliseconds(200);
+
+// An agent that missed an order is probably down or cut off; its runner may still be reached.
+constexpr duration passOverTime = std::chrono::seconds(2);
+
+std::size_t expertCount(const expert_placement& placement)
+{
+    std::size_t count = 0;
+    for (const auto& experts : placement.sets.front()) {
+        for (const expert_number expert : experts)
+            count = std::max<std::size_t>(count, expert + 1U);
+    }
+    return count;
+}
+
+map_order_result toOrderResult(delegated_result_message::outcome outcome)
+{
+    switch (outcome) {
+    case delegated_result_message::outcome::Accepted:
+        return map_order_result::Accepted;
+    case delegated_result_message::outcome::Refused:
+        return map_order_result::Refused;
+    case delegated_result_message::outcome::Unanswered:
+    case delegated_result_message::outcome::BaseUnknown:
+        break;
+    }
+    return map_order_result::Unanswered;
+}
+
+}
+
+map_order_dispatcher::map_order_dispatcher(group_id group, rank_id local, hooks callbacks)
+    : m_group(std::move(group))
+    , m_local(local)
+    , m_hooks(std::move(callbacks))
+{
+}
+
+bool map_order_dispatcher::isDelegable(const map_order& order, time_point now) const
+{
+    // Holds and releases are single orders, for which the way through an agent would only take longer.
+    if (order.rank == m_local || order.action == map_order::kind::Hold || order.action == map_order::kind::Release)
+        return false;
+    if (order.placement && order.placement->sets.empty())
+        return false;
+    const auto until = m_passedOverUntil.find(order.rank);
+    return until == m_passedOverUntil.end() || now >= until->second;
+}
+
+void map_order_dispatcher::dispatch(const map_order& order, time_point now)
+{
+    if (isDelegable(order, now))
+        sendToAgent(order, true, now);
+    else
+        m_hooks.sendDirectly(order);
+}
+
+void map_order_dispatcher::setDelta(delegated_order_message& message, const map_order& order, bool isBaseKnown)
+{
+    const expert_placement& target = *order.placement;
+    const std::size_t ranks = target.sets.front().size();
+    const std::size_t experts = expertCount(target);
+    const expert_placement roundRobin = roundRobinPlacement(target.sets.size(), experts, ranks);
+    if (m_deltaTarget != order.placement) {
+        m_deltaTarget = order.placement;
+        const bool hasBase = order.basePlacement && order.basePlacement->sets.size() == target.sets.size();
+        m_deltaFromBase = hasBase ? differenceOf(*order.basePlacement, target) : placement_delta {};
+        m_deltaFromRoundRobin = differenceOf(roundRobin, target);
+    }
+    message.sets = static_cast<std::uint16_t>(target.sets.size());
+    message.experts = static_cast<std::uint16_t>(experts);
+    message.ranks = static_cast<std::uint16_t>(ranks);
+    const bool isBaseUsable = isBaseKnown && order.basePlacement && order.basePlacement->sets.size() == target.sets.size();
+    // A map of the early life of a group often differs less from the round-robin placement that it started with.
+    const bool isBaseShorter = m_deltaFromBase.changes.size() < m_deltaFromRoundRobin.changes.size();
+    if (isBaseUsable && isBaseShorter) {
+        message.base = order.base;
+        message.delta = m_deltaFromBase;
+    } else {
+        message.delta = m_deltaFromRoundRobin;
+    }
+}
+
+void map_order_dispatcher::sendToAgent(const map_order& order, bool isBaseKnown, time_point now)
+{
+    delegated_order_message message;
+    message.id = ++m_lastId;
+    message.group = m_group;
+    message.order = order;
+    if (order.placement)
+        setDelta(message, order, isBaseKnown);
+    m_pending[message.id] = { order, now };
+    m_hooks.sendToAgent(message);
+}
+
+void map_order_dispatcher::onDelegatedResult(const delegated_result_message& message, time_point now)
+{
+    const auto found = m_pending.find(message.id);
+    if (found == m_pending.end())
+        return;
+    const map_order order = found->second.order;
+    m_pending.erase(found);
+    if (message.result == delegated_result_message::outcome::BaseUnknown)
+        sendToAgent(order, false, now);
+    else
+        m_hooks.onResult(order, toOrderResult(message.result));
+}
+
+void map_order_dispatcher::advance(time_point now)
+{
+    std::vector<map_order> unanswered;
+    std::erase_if(m_pending, [&](const auto& entry) {
+        if (now - entry.second.sentAt < agentTimeout)
+            return false;
+        unanswered.push_back(entry.second.order);
+        return true;
+    });
+    for (const map_order& order : unanswered) {
+        m_passedOverUntil[order.rank] = now + passOverTime;
+        m_hooks.onResult(order, map_order_result::Unanswered);
+    }
+}
+
+}
--- /dev/null
+++ b/fleet/map_order_dispatcher.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "expert_map/map_order.h"
+#include "expert_map/map_order_result.h"
+#include "fleet/delegated_order_message.h"
+#include "fleet/delegated_result_message.h"
+#include "state/ids.h"
+#include "state/time.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace sardinelb {
+
+// Delivers a coordinator's orders: through the agents of the ranks where that is quicker, and directly to the runner of a
+// rank whose agent does not answer. Pure state machine.
+class map_order_dispatcher {
+public:
+    struct hooks {
+        // Sends the order to the runner of its rank; ends with onDirectResult().
+        std::function<void(const map_order&)> sendDirectly;
+        // Sends a datagram to the agent of the order's rank. It may be lost.
+        std::function<void(const delegated_order_message&)> sendToAgent;
+        std::function<void(const map_order&, map_order_result)> onResult;
+    };
+
+    // `local` is the rank beside this coordinator, whose runner gets its orders directly.
+    map_order_dispatcher(group_id, rank_id local, hooks);
+
+    void dispatch(const map_order&, time_point now);
+    void onDirectResult(const map_order& order, map_order_result result) { m_hooks.onResult(order, result); }
+    void onDelegatedResult(const delegated_result_message&, time_point now);
+
+    // Ends the orders that no agent has answered in time. Call ten times a second or more.
+    void advance(time_point now);
+
+private:
+    struct pending_order {
+        map_order order;
+        time_point sentAt;
+    };
+
+    bool isDelegable(const map_order&, time_point now) const;
+    void sendToAgent(const map_order&, bool isBaseKnown, time_point now);
+    void setDelta(delegated_order_message&, const map_order&, bool isBaseKnown);
+
+    group_id m_group;
+    rank_id m_local;
+    hooks m_hooks;
+    std::uint64_t m_lastId = 0;
+    std::map<std::uint64_t, pending_order> m_pending;
+    // Until when the agent of a rank is passed over because it did not answer.
+    std::map<rank_id, time_point> m_passedOverUntil;
+    // The last differences computed, since all ranks get the same one.
+    std::shared_ptr<const expert_placement> m_deltaTarget;
+    placement_delta m_deltaFromBase;
+    placement_delta m_deltaFromRoundRobin;
+};
+
+}
--- /dev/null
+++ b/fleet/map_order_executor.cpp
@@ -0,0 +1,36 @@
+#include "fleet/map_order_executor.h"
+
+namespace sardinelb {
+
+std::optional<map_order> map_order_executor::complete(const delegated_order_message& message)
+{
+    map_order order = message.order;
+    if (order.action != map_order::kind::Prepare)
+        return order;
+    if (order.epoch != m_epoch)
+        m_placements.clear();
+    m_epoch = order.epoch;
+    std::optional<expert_placement> placement;
+    if (!message.base) {
+        placement = applyDelta(roundRobinPlacement(message.sets, message.experts, message.ranks), message.delta);
+    } else {
+        const auto known = m_placements.find(*message.base);
+        if (known != m_placements.end())
+            placement = applyDelta(*known->second, message.delta);
+    }
+    if (!placement)
+        return std::nullopt;
+    order.placement = std::make_shared<expert_placement>(std::move(*placement));
+    return order;
+}
+
+void map_order_executor::onPrepared(const map_order& order, map_version inUse)
+{
+    if (order.epoch != m_epoch)
+        m_placements.clear();
+    m_epoch = order.epoch;
+    std::erase_if(m_placements, [&](const auto& entry) { return entry.first != inUse; });
+    m_placements[order.version] = order.placement;
+}
+
+}
--- /dev/null
+++ b/fleet/map_order_executor.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "expert_map/map_order.h"
+#include "fleet/delegated_order_message.h"
+#include "state/ids.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace sardinelb {
+
+// An agent's knowledge of its group's maps, from which it completes the orders that a coordinator delegates to it. Pure state
+// machine.
+class map_order_executor {
+public:
+    // The order to give to the runner. Nothing if it refers to a map that is not known here.
+    std::optional<map_order> complete(const delegated_order_message&);
+
+    // Records that the runner has taken a prepare order. Maps other than this and `inUse` are forgotten.
+    void onPrepared(const map_order&, map_version inUse);
+
+private:
+    std::uint64_t m_epoch = 0;
+    std::map<map_version, std::shared_ptr<const expert_placement>> m_placements;
+};
+
+}
--- a/serving/runner_directory.cpp
+++ b/serving/runner_directory.cpp
@@ -65,12 +65,30 @@
         else if (before != m_runners.end())
             record.inFlight = before->second.inFlight;
         record.listing = listing;
+        record.isFollowed = !engineOf(listing.pool) || !m_followed || m_followed->contains(listing.address);
         m_byPool[listing.pool].push_back(listing.id);
         known.emplace(listing.id, std::move(record));
     }
     m_runners = std::move(known);
 }
 
+void runner_directory::setFollowed(const std::unordered_set<std::string>& addresses)
+{
+    m_followed = addresses;
+    for (auto& [id, record] : m_runners)
+        record.isFollowed = !engineOf(record.listing.pool) || addresses.contains(record.listing.address);
+}
+
+std::vector<std::string> runner_directory::modelRunnerAddresses() const
+{
+    std::vector<std::string> addresses;
+    for (const auto& [id, record] : m_runners) {
+        if (engineOf(record.listing.pool))
+            addresses.push_back(record.listing.address);
+    }
+    return addresses;
+}
+
 void runner_directory::setEngine(const pool_id& pool, const std::optional<engine_profile>& engine)
 {
     m_engines[pool] = engine;
@@ -148,49 +166,67 @@
     return (load + 1) * pace * pass * (1 + failurePenalty * record.failureRate) * (1 + record.responseMs / 1000);
 }
 
-bool runner_directory::isSampled(std::size_t poolSize)
+bool runner_directory::isSampled(std::size_t candidates, std::size_t poolSize)
 {
-    const double sampleProbability = static_cast<double>(std::max(poolSize / std::max<std::size_t>(m_entryCount, 1), minSampledRunners)) / static_cast<double>(poolSize);
+    const double sampleProbability = static_cast<double>(std::max(poolSize / std::max<std::size_t>(m_entryCount, 1), minSampledRunners)) / static_cast<double>(candidates);
     return m_random() < sampleProbability;
 }
 
-std::optional<runner_id> runner_directory::choose(const pool_id& pool, const std::vector<runner_id>& excluded, time_point now)
+bool runner_directory::isAnyFollowedUsable(const std::vector<runner_id>& members, time_point now) const
+{
+    return std::any_of(members.begin(), members.end(), [&](const runner_id& id) {
+        const runner_record& record = m_runners.at(id);
+        return record.isFollowed && isUsable(record, now);
+    });
+}
+
+std::vector<const runner_record*> runner_directory::candidates(const pool_id& pool, time_point now) const
 {
+    std::vector<const runner_record*> result;
     const auto members = m_byPool.find(pool);
     if (members == m_byPool.end())
-        return std::nullopt;
-    const runner_id* best = nullptr;
-    double bestScore = std::numeric_limits<double>::infinity();
+        return result;
+    const bool isFollowedOnly = isAnyFollowedUsable(members->second, now);
     for (const runner_id& id : members->second) {
         const runner_record& record = m_runners.at(id);
-        if (!isUsable(record, now) || record.estimatedLoad(now) >= requestLimit(record))
+        if (isUsable(record, now) && (record.isFollowed || !isFollowedOnly))
+            result.push_back(&record);
+    }
+    return result;
+}
+
+std::optional<runner_id> runner_directory::choose(const pool_id& pool, const std::vector<runner_id>& excluded, time_point now)
+{
+    const std::vector<const runner_record*> usable = candidates(pool, now);
+    const auto members = m_byPool.find(pool);
+    const std::size_t poolSize = members == m_byPool.end() ? 0 : members->second.size();
+    const runner_record* best = nullptr;
+    double bestScore = std::numeric_limits<double>::infinity();
+    for (const runner_record* record : usable) {
+        if (record->estimatedLoad(now) >= requestLimit(*record))
             continue;
-        double value = score(record, now);
+        double value = score(*record, now);
         // If all entries compared all runners from the same reports, they would all choose the same one.
-        if (!isSampled(members->second.size()))
+        if (!isSampled(usable.size(), poolSize))
             value += unsampledPenalty;
-        if (std::find(excluded.begin(), excluded.end(), id) != excluded.end())
+        if (std::find(excluded.begin(), excluded.end(), record->listing.id) != excluded.end())
             value += excludedPenalty;
         value *= 1 + 0.2 * m_random();
         if (value < bestScore) {
             bestScore = value;
-            best = &id;
+            best = record;
         }
     }
-    return best ? std::optional(*best) : std::nullopt;
+    return best ? std::optional(best->listing.id) : std::nullopt;
 }
 
 std::uint32_t runner_directory::freeSlots(const pool_id& pool, time_point now) const
 {
-    const auto members = m_byPool.find(pool);
-    if (members == m_byPool.end())
-        return 0;
     std::uint32_t total = 0;
-    for (const runner_id& id : members->second) {
-        const runner_record& record = m_runners.at(id);
-        const std::uint32_t limit = std::min(requestLimit(record), 1000U);
-        const std::uint32_t load = record.estimatedLoad(now);
-        if (isUsable(record, now) && load < limit)
+    for (const runner_record* record : candidates(pool, now)) {
+        const std::uint32_t limit = std::min(requestLimit(*record), 1000U);
+        const std::uint32_t load = record->estimatedLoad(now);
+        if (load < limit)
             total += limit - load;
     }
     return total;
--- a/serving/runner_directory.h
+++ b/serving/runner_directory.h
@@ -11,7 +11,9 @@
 
 #include <functional>
 #include <optional>
+#include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace sardinelb {
@@ -36,6 +38,13 @@
     // Sets the number of entries that select among the same runners from the same reports.
     void setEntryCount(std::size_t count) { m_entryCount = count; }
 
+    // Sets the addresses of the model runners whose load this entry follows. Others are used only while none of these is
+    // usable.
+    void setFollowed(const std::unordered_set<std::string>& addresses);
+
+    // Addresses of all runners in pools with an engine profile.
+    std::vector<std::string> modelRunnerAddresses() const;
+
     // Chooses a runner with a free slot, or nothing. Runners in `excluded` are chosen only if there is no other.
     std::optional<runner_id> choose(const pool_id&, const std::vector<runner_id>& excluded, time_point now);
 
@@ -77,7 +86,11 @@
 
 private:
     std::uint32_t requestLimit(const runner_record&) const;
-    bool isSampled(std::size_t poolSize);
+    bool isSampled(std::size_t candidates, std::size_t poolSize);
+    // Whether any followed runner of the pool is usable.
+    bool isAnyFollowedUsable(const std::vector<runner_id>& members, time_point now) const;
+    // Runners of the pool that requests may be sent to now.
+    std::vector<const runner_record*> candidates(const pool_id&, time_point now) const;
     bool isAwaitingFirstReport(const runner_record&, time_point now) const;
     bool isUsable(const runner_record&, time_point now) const;
     double smoothedPassMs(const group_id&) const;
@@ -89,6 +102,8 @@
 
     random_source m_random;
     std::size_t m_entryCount = 1;
+    // Nothing until set; then all model runners are followed.
+    std::optional<std::unordered_set<std::string>> m_followed;
     std::unordered_map<runner_id, runner_record> m_runners;
     std::unordered_map<pool_id, std::vector<runner_id>> m_byPool;
     // Also contains the pools without an engine.
--- a/serving/runner_listing.cpp
+++ b/serving/runner_listing.cpp
@@ -1,8 +1,9 @@
 #include "serving/runner_listing.h"
 
+#include "serving/stable_hash.h"
+
 #include <algorithm>
 #include <string>
-#include <string_view>
 #include <unordered_set>
 
 namespace sardinelb {
@@ -15,30 +16,17 @@
 // A shorter outage cannot make entries expire: they live for three heartbeats of a second or so.
 constexpr duration minExpiringOutage = std::chrono::milliseconds(1000);
 
-}
-
-namespace {
-
-void addToDigest(std::uint64_t& digest, std::string_view text)
-{
-    // FNV-1a gives equal digests in all processes; std::hash need not.
-    constexpr std::uint64_t prime = 1099511628211ULL;
-    for (const char c : text)
-        digest = (digest ^ static_cast<unsigned char>(c)) * prime;
-    digest = (digest ^ 0xff) * prime;
-}
-
 std::uint64_t digestOf(const std::vector<listed_runner>& runners)
 {
-    std::uint64_t digest = 14695981039346656037ULL;
+    stable_hash digest;
     for (const listed_runner& runner : runners) {
-        addToDigest(digest, runner.id.value());
-        addToDigest(digest, runner.pool.value());
-        addToDigest(digest, runner.address);
-        addToDigest(digest, runner.isDraining ? "draining" : "ready");
-        addToDigest(digest, std::to_string(runner.startedAtMs));
+        digest.add(runner.id.value());
+        digest.add(runner.pool.value());
+        digest.add(runner.address);
+        digest.add(runner.isDraining ? "draining" : "ready");
+        digest.add(std::to_string(runner.startedAtMs));
     }
-    return digest;
+    return digest.value();
 }
 
 }
--- a/serving/runner_record.h
+++ b/serving/runner_record.h
@@ -22,6 +22,8 @@
     };
 
     listed_runner listing;
+    // Whether this entry follows the runner's load. See runner_followers.h.
+    bool isFollowed = true;
     // When the process first appeared in the list.
     time_point listedAt;
     // This entry's requests in flight.
--- a/tests/fleet/expert_map_test.cpp
+++ b/tests/fleet/expert_map_test.cpp
@@ -1,3 +1,4 @@
+#include "expert_map/demand_accumulator.h"
 #include "expert_map/expert_demand.h"
 #include "expert_map/expert_set_placement.h"
 #include "expert_map/placement_planner.h"
@@ -219,9 +220,9 @@
 {
     expert_demand demand(1, 4);
     for (int i = 0; i < 50; ++i)
-        demand.report({ 100, 10, 10, 10 }, time_point(milliseconds(i * 100)));
+        demand.report({ 1, { 100, 10, 10, 10 } }, time_point(milliseconds(i * 100)));
     for (int i = 50; i < 60; ++i)
-        demand.report({ 10, 10, 10, 100 }, time_point(milliseconds(i * 100)));
+        demand.report({ 1, { 10, 10, 10, 100 } }, time_point(milliseconds(i * 100)));
     const auto shares = demand.popularity().front();
     EXPECT_GT(shares[3], 0.5);
     EXPECT_LT(shares[0], 0.25);
@@ -231,7 +232,7 @@
 TEST_F(demand_estimate, report_ofAnotherSize_ignored)
 {
     expert_demand demand(1, 4);
-    demand.report({ 1, 2 }, time_point(milliseconds(1)));
+    demand.report({ 1, { 1, 2 } }, time_point(milliseconds(1)));
     EXPECT_EQ(demand.recentChoices(), 0);
 }
 
--- a/tests/fleet/fleet_message_test.cpp
+++ b/tests/fleet/fleet_message_test.cpp
@@ -19,7 +19,17 @@
         message.status.map = map_version(4);
         message.status.armed = map_version(5);
         message.status.expertsBySet = { { 1, 2 }, {}, { 7 } };
-        message.choices = { 5, 6, 7 };
+        message.address = "10.0.0.3:80";
+        return message;
+    }
+
+    static delegated_order_message exampleOrder()
+    {
+        delegated_order_message message;
+        message.id = 7;
+        message.order = { map_order::kind::Prepare, rank_id(3), 2, map_version(5), {}, {} };
+        message.base = map_version(4);
+        message.delta.changes = { { 1, 3, { 7, 8 } }, { 2, 0, {} } };
         return message;
     }
 };
@@ -30,7 +40,7 @@
     ASSERT_TRUE(decoded);
     const auto& message = std::get<rank_message>(*decoded);
     EXPECT_EQ(message.status.expertsBySet, exampleRank().status.expertsBySet);
-    EXPECT_EQ(message.choices, exampleRank().choices);
+    EXPECT_EQ(message.address, "10.0.0.3:80");
     EXPECT_EQ(message.status.armed, map_version(5));
     EXPECT_FALSE(message.status.held);
 }
@@ -40,18 +50,48 @@
     entry_heartbeat_message heartbeat;
     heartbeat.daemon = daemon_id("e1");
     heartbeat.configuration = config_version(9);
-    heartbeat.members = { { rank_id(1), "10.0.0.1:80" } };
+    heartbeat.members = { { rank_id(1), "10.0.0.1:80", std::chrono::milliseconds(70) } };
+    heartbeat.groups = { { group_id("g0-1"), heartbeat.members } };
     const auto decoded = decode(encode(heartbeat));
     ASSERT_TRUE(decoded);
-    EXPECT_EQ(std::get<entry_heartbeat_message>(*decoded).members.front().address, "10.0.0.1:80");
+    const auto& message = std::get<entry_heartbeat_message>(*decoded);
+    EXPECT_EQ(message.members.front().address, "10.0.0.1:80");
+    ASSERT_EQ(message.groups.size(), 1U);
+    EXPECT_EQ(message.groups.front().members.front().age, std::chrono::milliseconds(70));
+}
+
+TEST_F(fleet_datagram, demandReportAndRoute_encodedAndDecoded_equal)
+{
+    const auto report = decode(encode(demand_report_message { group_id("g0-1"), 2, { 3, { 1, 0, 255 } } }));
+    ASSERT_TRUE(report);
+    EXPECT_EQ(std::get<demand_report_message>(*report).choices.values, (std::vector<std::uint8_t> { 1, 0, 255 }));
+    EXPECT_EQ(std::get<demand_report_message>(*report).choices.scale, 3U);
+    const auto route = decode(encode(demand_route_message { group_id("g0-1"), 2, "10.0.0.9:80", std::chrono::milliseconds(165) }));
+    ASSERT_TRUE(route);
+    EXPECT_EQ(std::get<demand_route_message>(*route).collector, "10.0.0.9:80");
+    EXPECT_EQ(std::get<demand_route_message>(*route).interval, std::chrono::milliseconds(165));
+}
+
+TEST_F(fleet_datagram, delegatedOrder_encodedAndDecoded_equal)
+{
+    const auto decoded = decode(encode(exampleOrder()));
+    ASSERT_TRUE(decoded);
+    const auto& message = std::get<delegated_order_message>(*decoded);
+    EXPECT_EQ(message.order.version, map_version(5));
+    EXPECT_EQ(message.base, map_version(4));
+    EXPECT_EQ(message.delta.changes, exampleOrder().delta.changes);
+    const auto result = decode(encode(delegated_result_message { 7, delegated_result_message::outcome::BaseUnknown }));
+    ASSERT_TRUE(result);
+    EXPECT_EQ(std::get<delegated_result_message>(*result).result, delegated_result_message::outcome::BaseUnknown);
 }
 
 // Guards against crashes of a daemon by foreign or corrupted datagrams.
 TEST_F(fleet_datagram, corruptedBytes_decoded_nothingOrAMessage)
 {
     std::mt19937 random(7);
-    const std::string whole = encode(exampleRank());
-    for (int i = 0; i < 20000; ++i) {
+    const std::string examples[] = { encode(exampleRank()), encode(exampleOrder()) };
+    for (int i = 0; i < 40000; ++i) {
+        const std::string& whole = examples[i % 2];
         std::string bytes = whole.substr(0, random() % (whole.size() + 1));
         for (int flips = 0; flips < 3 && !bytes.empty(); ++flips)
             bytes[random() % bytes.size()] = static_cast<char>(random());
