--- a/fleet/entry_context.cpp
+++ b/fleet/entry_context.cpp
@@ -88,7 +88,7 @@
 
 double entry_context::freedSlotsPerSecond(const pool_id& pool) const
 {
-    return m_runners.freedSlotsPerSecond(pool) / static_cast<double>(m_entriesAlive);
+    return m_runners.freedSlotsPerSecond(pool) * m_demand.share();
 }
 
 duration entry_context::retryDelayWithoutConfiguration()
@@ -116,7 +116,7 @@
     if (queue == m_queues.end())
         return;
     const time_point now = steadyNow();
-    for (const waiting_request& expired : queue->second.takeExpired(now)) {
+    for (const waiting_request& expired : queue->second.takeExpired(freedSlotsPerSecond(pool), now)) {
         const auto relay = m_waiting[expired.ticket].lock();
         m_waiting.erase(expired.ticket);
         if (relay)
--- a/fleet/entry_context.h
+++ b/fleet/entry_context.h
@@ -2,6 +2,7 @@
 
 #include "platform/settings.h"
 #include "serving/admission_queue.h"
+#include "serving/demand_share.h"
 #include "serving/retry_budget_share.h"
 #include "serving/runner_directory.h"
 #include "state/ids.h"
@@ -47,7 +48,7 @@
     retry_budget_share& retryBudgetOf(const pool_id&);
     admission_queue& queueOf(const pool_id& pool) { return m_queues[pool]; }
 
-    // Rate at which slots of the pool become free for this entry, if all entries get an equal share.
+    // Rate at which slots of the pool become free for this entry.
     double freedSlotsPerSecond(const pool_id&) const;
 
     // Retry-After time for callers that are rejected because no configuration is known.
@@ -69,6 +70,8 @@
     // Picks one of the pools of a route by weight.
     const pool_id* pickPool(const traffic_route&);
 
+    demand_share& demand() { return m_demand; }
+
     std::size_t activeRequests = 0;
 
 private:
@@ -81,6 +84,7 @@
     std::mt19937_64 m_random;
     std::shared_ptr<const route_index> m_routes;
     runner_directory m_runners;
+    demand_share m_demand;
     std::map<pool_id, admission_queue> m_queues;
     std::unordered_map<std::uint64_t, std::weak_ptr<request_relay>> m_waiting;
     std::unordered_map<pool_id, retry_budget_share> m_retryBudgets;
--- a/fleet/entry_peers.cpp
+++ b/fleet/entry_peers.cpp
@@ -66,6 +66,8 @@
 {
     removeSilent();
     updateFollowedRunners();
+    m_arrivalsPerSecond = m_entry.demand().update(steadyNow());
+    m_entry.runners().setDemandShare(m_entry.demand().share());
     sendVersions();
     sendToAgents();
     logGroups();
@@ -79,15 +81,17 @@
 void entry_peers::logGroups()
 {
     for (const auto& view : m_entry.runners().groups())
-        m_log.write("group_pace", { { "group", view.group.value() }, { "limit", static_cast<std::int64_t>(view.limitPerRank) }, { "gap_ms", view.passMs } });
+        m_log.write("group_pace", { { "group", view.group.value() }, { "limit", view.limitPerRank }, { "gap_ms", view.passMs }, { "slowdown", view.slowdown } });
 }
 
 void entry_peers::removeSilent()
 {
     const time_point now = steadyNow();
     for (const auto& [ip, at] : m_entries) {
-        if (now - at > entryTimeout)
-            m_log.write("entry_lost", { { "ip", ip }, { "silent_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - at).count() } });
+        if (now - at <= entryTimeout)
+            continue;
+        m_entry.demand().removePeer(ip);
+        m_log.write("entry_lost", { { "ip", ip }, { "silent_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - at).count() } });
     }
     std::erase_if(m_entries, [&](const auto& entry) { return now - entry.second > entryTimeout; });
     std::erase_if(m_agents, [&](const auto& entry) { return now - entry.second.lastHeardAt > agentTimeout; });
@@ -134,6 +138,7 @@
 void entry_peers::sendVersions()
 {
     entry_heartbeat_message heartbeat = createHeartbeat();
+    heartbeat.arrivalsPerSecond = static_cast<float>(m_arrivalsPerSecond);
     for (const auto& [group, candidates] : m_candidates)
         heartbeat.groups.push_back({ group, candidatesOf(group) });
     const std::string bytes = encode(heartbeat);
@@ -225,9 +230,11 @@
 {
     if (heartbeat.isStopping) {
         m_entries.erase(ip);
+        m_entry.demand().removePeer(ip);
         return;
     }
     addEntry(ip);
+    m_entry.demand().onPeer(ip, heartbeat.arrivalsPerSecond);
     const time_point now = steadyNow();
     for (const auto& group : heartbeat.groups) {
         for (const auto& member : group.members)
--- a/fleet/entry_peers.h
+++ b/fleet/entry_peers.h
@@ -97,6 +97,7 @@
     std::unordered_map<runner_id, known_agent> m_agents;
     // The lowest ranks of each group that are alive, as heard from their agents or from other entries.
     std::map<group_id, std::map<rank_id, coordinator_candidate>> m_candidates;
+    double m_arrivalsPerSecond = 0;
     bool m_isStopping = false;
 };
 
--- a/fleet/fleet_message.cpp
+++ b/fleet/fleet_message.cpp
@@ -1,7 +1,10 @@
 #include "fleet/fleet_message.h"
 
+#include "expert_map/placement_delta_codec.h"
 #include "protocol/generated/fleet_generated.h"
 
+#include <span>
+
 namespace sardinelb {
 
 namespace {
@@ -37,7 +40,8 @@
         const auto body = wire::Createentry_beatDirect(builder, message.daemon.value().c_str(), message.configuration.value(),
             message.runnerList.value(), message.runnerDigest,
             milliseconds(message.runnerListAge), message.isStopping, message.group.value().c_str(), &members,
-            message.expertsPerRank, message.newExpertsPerRank, static_cast<std::uint64_t>(message.expertCopyTime.count()), message.slots, &groups);
+            message.expertsPerRank, message.newExpertsPerRank, static_cast<std::uint64_t>(message.expertCopyTime.count()), message.slots, &groups,
+            message.arrivalsPerSecond);
         finish(wire::datagram_body::entry_beat, body.Union());
     }
 
@@ -83,13 +87,7 @@
     void operator()(const delegated_order_message& message) const
     {
         const map_order& order = message.order;
-        std::vector<std::uint16_t> changes;
-        for (const auto& change : message.delta.changes) {
-            changes.push_back(change.set);
-            changes.push_back(change.rank);
-            changes.push_back(static_cast<std::uint16_t>(change.experts.size()));
-            changes.insert(changes.end(), change.experts.begin(), change.experts.end());
-        }
+        const std::vector<std::uint8_t> changes = encodeDelta(message.delta, message.ranks);
         const auto body = wire::Createdelegated_orderDirect(builder, message.id, message.group.value().c_str(), order.rank.value(), order.epoch,
             static_cast<std::uint8_t>(order.action), order.version.value(), order.step.value(), message.base.has_value(), message.base.value_or(map_version {}).value(),
             message.sets, message.experts, message.ranks, &changes);
@@ -143,6 +141,7 @@
     message.newExpertsPerRank = body.new_per_rank();
     message.expertCopyTime = duration(body.expert_copy_us());
     message.slots = body.slots();
+    message.arrivalsPerSecond = body.arrivals_per_second();
     return message;
 }
 
@@ -215,25 +214,6 @@
     return demand_route_message { group_id(text(body.group())), body.epoch(), text(body.collector()), std::chrono::milliseconds(body.interval_ms()) };
 }
 
-placement_delta readDelta(const flatbuffers::Vector<std::uint16_t>* values)
-{
-    // Each change starts with the set, the rank and the number of experts.
-    constexpr std::size_t changeHeadSize = 3;
-    placement_delta delta;
-    std::size_t next = 0;
-    const std::vector<std::uint16_t> numbers = values ? std::vector<std::uint16_t>(values->begin(), values->end()) : std::vector<std::uint16_t>();
-    while (next + changeHeadSize <= numbers.size()) {
-        const std::size_t count = numbers[next + 2];
-        const std::size_t end = next + changeHeadSize + count;
-        if (end > numbers.size())
-            break;
-        const auto experts = numbers.begin() + static_cast<std::ptrdiff_t>(next + changeHeadSize);
-        delta.changes.push_back({ numbers[next], numbers[next + 1], { experts, experts + static_cast<std::ptrdiff_t>(count) } });
-        next = end;
-    }
-    return delta;
-}
-
 std::optional<fleet_message> read(const wire::delegated_order& body)
 {
     if (body.action() > static_cast<std::uint8_t>(map_order::kind::Release))
@@ -247,7 +227,7 @@
     message.sets = body.sets();
     message.experts = body.experts();
     message.ranks = body.ranks();
-    message.delta = readDelta(body.changes());
+    message.delta = decodeDelta(body.changes() ? std::span(body.changes()->data(), body.changes()->size()) : std::span<const std::uint8_t>(), body.ranks());
     return message;
 }
 
--- a/fleet/fleet_message.h
+++ b/fleet/fleet_message.h
@@ -44,6 +44,8 @@
     bool isStopping = false;
     // Groups that the sender knows. Empty for agents.
     std::vector<group_candidates> groups;
+    // Requests for model runners that the sender got lately. Not set for agents.
+    float arrivalsPerSecond = 0;
     // This and the fields below are set for agents whose group the entry knows. The members are the lowest ranks.
     group_id group;
     std::vector<member> members;
--- a/serving/runner_directory.cpp
+++ b/serving/runner_directory.cpp
@@ -1,6 +1,7 @@
 #include "serving/runner_directory.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace sardinelb {
@@ -25,6 +26,12 @@
 // load report, since its agent may be down.
 constexpr duration firstReportTimeout = std::chrono::milliseconds(800);
 
+// Up to this fraction of its limit, a group takes requests of any entry.
+constexpr double busyFraction = 0.8;
+
+// A single rank may exceed the limit of its group by this factor, because loads differ for a moment.
+constexpr double rankLimitMargin = 1.25;
+
 // Each entry samples its share of the runners, but on average no fewer than this.
 constexpr std::size_t minSampledRunners = 4;
 
@@ -125,20 +132,55 @@
         record->backoffUntil = {};
         record->consecutiveFailures = 0;
     }
-    record->load = runner_record::load_sample { report.running + report.waiting, record->inFlight, now, report.pace, report.isGroupOpen };
+    record->load = runner_record::load_sample { report.running + report.waiting, report.running, record->inFlight, now, report.pace, report.isGroupOpen };
     record->group = report.group;
     record->rank = report.rank;
 }
 
+double runner_directory::limitPerRank(const group_id& group, const engine_profile& engine) const
+{
+    const auto known = m_groups.find(group);
+    return known == m_groups.end() ? engine.slots : std::min<double>(engine.slots, known->second.requestsPerRank());
+}
+
 std::uint32_t runner_directory::requestLimit(const runner_record& record) const
 {
     const engine_profile* engine = engineOf(record.listing.pool);
     if (!engine)
         return std::numeric_limits<std::uint32_t>::max();
-    const auto group = m_groups.find(record.group);
-    if (group == m_groups.end())
-        return engine->slots;
-    return std::min(engine->slots, group->second.requestsPerRank());
+    const double limit = limitPerRank(record.group, *engine) * rankLimitMargin;
+    return std::min(engine->slots, static_cast<std::uint32_t>(std::ceil(limit)));
+}
+
+std::unordered_map<group_id, runner_directory::group_use> runner_directory::groupUse(const pool_id& pool, const engine_profile& engine, time_point now) const
+{
+    std::unordered_map<group_id, group_use> groups;
+    const auto members = m_byPool.find(pool);
+    if (members == m_byPool.end())
+        return groups;
+    double followed = 0;
+    for (const runner_id& id : members->second) {
+        const runner_record& record = m_runners.at(id);
+        group_use& use = groups[record.group];
+        use.ownInFlight += record.inFlight;
+        if (!record.isFollowed)
+            continue;
+        ++followed;
+        ++use.followedRanks;
+        if (!record.hasRecentLoad(now))
+            continue;
+        ++use.reportingRanks;
+        use.estimatedLoad += record.estimatedLoad(now);
+    }
+    for (auto& [group, use] : groups) {
+        const double limit = limitPerRank(group, engine);
+        const bool isBusy = use.estimatedLoad > busyFraction * limit * use.reportingRanks;
+        // Entries follow random runners, so the followed ones are divided among the groups like all.
+        const double ranks = followed > 0 ? static_cast<double>(members->second.size()) * use.followedRanks / followed : 0;
+        const double share = m_demandShare * ranks * limit;
+        use.remainingShare = isBusy ? share - use.ownInFlight : std::numeric_limits<double>::infinity();
+    }
+    return groups;
 }
 
 bool runner_directory::isAwaitingFirstReport(const runner_record& record, time_point now) const
@@ -181,6 +223,17 @@
 }
 
 std::vector<const runner_record*> runner_directory::candidates(const pool_id& pool, time_point now) const
+{
+    std::vector<const runner_record*> result = usableRunners(pool, now);
+    const engine_profile* engine = engineOf(pool);
+    if (!engine)
+        return result;
+    const auto groups = groupUse(pool, *engine, now);
+    std::erase_if(result, [&](const runner_record* record) { return groups.at(record->group).remainingShare <= 0; });
+    return result;
+}
+
+std::vector<const runner_record*> runner_directory::usableRunners(const pool_id& pool, time_point now) const
 {
     std::vector<const runner_record*> result;
     const auto members = m_byPool.find(pool);
@@ -222,14 +275,21 @@
 
 std::uint32_t runner_directory::freeSlots(const pool_id& pool, time_point now) const
 {
-    std::uint32_t total = 0;
-    for (const runner_record* record : candidates(pool, now)) {
+    const engine_profile* engine = engineOf(pool);
+    std::unordered_map<group_id, double> freeByGroup;
+    for (const runner_record* record : usableRunners(pool, now)) {
         const std::uint32_t limit = std::min(requestLimit(*record), 1000U);
         const std::uint32_t load = record->estimatedLoad(now);
         if (load < limit)
-            total += limit - load;
+            freeByGroup[record->group] += limit - load;
+    }
+    const auto groups = engine ? groupUse(pool, *engine, now) : std::unordered_map<group_id, group_use>();
+    double total = 0;
+    for (const auto& [group, slots] : freeByGroup) {
+        const double share = engine ? std::ceil(groups.at(group).remainingShare) : slots;
+        total += std::max(0.0, std::min(slots, share));
     }
-    return total;
+    return static_cast<std::uint32_t>(total);
 }
 
 double runner_directory::freedSlotsPerSecond(const pool_id& pool) const
@@ -244,7 +304,7 @@
     for (const runner_id& id : members->second) {
         const runner_record& record = m_runners.at(id);
         if (!record.listing.isDraining && !record.isReplaced)
-            slots += hasEngine ? requestLimit(record) : record.listing.slots;
+            slots += hasEngine ? limitPerRank(record.group, *engineOf(pool)) : record.listing.slots;
     }
     return slots / seconds;
 }
@@ -335,7 +395,7 @@
     for (const auto& [id, record] : m_runners) {
         if (record.group != group || !record.hasRecentLoad(now))
             continue;
-        sum += record.estimatedLoad(now);
+        sum += record.load->running;
         ++ranks;
     }
     return ranks > 0 ? std::optional(sum / ranks) : std::nullopt;
@@ -361,7 +421,7 @@
 {
     std::vector<group_view> views;
     for (const auto& [group, limit] : m_groups)
-        views.push_back({ group, limit.requestsPerRank(), limit.smoothedPassMs() });
+        views.push_back({ group, limit.requestsPerRank(), limit.smoothedPassMs(), limit.slowdown() });
     return views;
 }
 
--- a/serving/runner_directory.h
+++ b/serving/runner_directory.h
@@ -38,6 +38,10 @@
     // Sets the number of entries that select among the same runners from the same reports.
     void setEntryCount(std::size_t count) { m_entryCount = count; }
 
+    // Sets this entry's share of the demand of all entries, from 0 to 1. While a group is busy, the entry uses no more than
+    // this share of it: from the same reports, all entries see the same free slots.
+    void setDemandShare(double share) { m_demandShare = share; }
+
     // Sets the addresses of the model runners whose load this entry follows. Others are used only while none of these is
     // usable.
     void setFollowed(const std::unordered_set<std::string>& addresses);
@@ -79,18 +83,33 @@
     // Measured state of a group, for logs and tests.
     struct group_view {
         group_id group;
-        std::uint32_t limitPerRank = 0;
+        double limitPerRank = 0;
         double passMs = 0;
+        double slowdown = 0;
     };
     std::vector<group_view> groups() const;
 
 private:
+    // State of a group as it follows from the reports of the ranks that this entry follows.
+    struct group_use {
+        double followedRanks = 0;
+        // Sum over the ranks with a recent report.
+        double estimatedLoad = 0;
+        double reportingRanks = 0;
+        double ownInFlight = 0;
+        // Requests that this entry may still send to the group.
+        double remainingShare = 0;
+    };
+
     std::uint32_t requestLimit(const runner_record&) const;
+    double limitPerRank(const group_id&, const engine_profile&) const;
+    std::unordered_map<group_id, group_use> groupUse(const pool_id&, const engine_profile&, time_point now) const;
     bool isSampled(std::size_t candidates, std::size_t poolSize);
     // Whether any followed runner of the pool is usable.
     bool isAnyFollowedUsable(const std::vector<runner_id>& members, time_point now) const;
-    // Runners of the pool that requests may be sent to now.
+    // Runners of the pool that requests may be sent to now, without those of groups of which this entry uses its share.
     std::vector<const runner_record*> candidates(const pool_id&, time_point now) const;
+    std::vector<const runner_record*> usableRunners(const pool_id&, time_point now) const;
     bool isAwaitingFirstReport(const runner_record&, time_point now) const;
     bool isUsable(const runner_record&, time_point now) const;
     double smoothedPassMs(const group_id&) const;
@@ -102,6 +121,7 @@
 
     random_source m_random;
     std::size_t m_entryCount = 1;
+    double m_demandShare = 1;
     // Nothing until set; then all model runners are followed.
     std::optional<std::unordered_set<std::string>> m_followed;
     std::unordered_map<runner_id, runner_record> m_runners;
--- a/serving/runner_record.h
+++ b/serving/runner_record.h
@@ -14,6 +14,8 @@
     // The last load report of the runner.
     struct load_sample {
         std::uint32_t total = 0;
+        // Those of them that the runner is running.
+        std::uint32_t running = 0;
         // This entry's requests in flight when the report arrived.
         std::uint32_t own = 0;
         time_point at;
--- a/tests/fleet/fleet_message_test.cpp
+++ b/tests/fleet/fleet_message_test.cpp
@@ -29,6 +29,7 @@
         message.id = 7;
         message.order = { map_order::kind::Prepare, rank_id(3), 2, map_version(5), {}, {} };
         message.base = map_version(4);
+        message.ranks = 8;
         message.delta.changes = { { 1, 3, { 7, 8 } }, { 2, 0, {} } };
         return message;
     }
