Reject at once what others will keep from a slot

Cause: requests were queued while the queue was short enough for their time, although requests that go before them kept arriving; they were rejected after 0.3 to 3 s, or served late. The queue now counts the arrivals of three seconds by priority: a request is queued if it starts on time in the slots that those before it leave, or late in slots that all new requests leave. Retry-After follows from the same slots. The priority of the route decides among requests of the same priority; one in eight slots goes to the lowest priority that is still on time, so that no kind starves.

--- a/fleet/request_relay.cpp
+++ b/fleet/request_relay.cpp
@@ -105,7 +105,11 @@
     if (m_route->timeLimit > duration {})
         m_deadline = std::min(m_deadline, m_arrivedAt + m_route->timeLimit);
     m_context.retryBudgetOf(m_pool).onRequest(m_arrivedAt);
+    if (isStream(m_route->retrySemantics))
+        m_context.demand().onArrival();
     m_isCallerRetry = m_request.callerTimeout && *m_request.callerTimeout < m_context.updateMaxCallerTimeout(m_route->name, *m_request.callerTimeout) * callerRetryTimeoutRatio;
+    if (!m_isCallerRetry)
+        m_context.queueOf(m_pool).onArrival(priority(), m_route->priority, m_arrivedAt);
     m_deadlineTimer.expires_after(m_deadline - m_arrivedAt);
     m_deadlineTimer.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
         if (!error)
@@ -138,12 +142,18 @@
     enqueue();
 }
 
+std::int32_t request_relay::priority() const
+{
+    return m_holder && m_holder->priority ? *m_holder->priority : m_route->priority;
+}
+
 void request_relay::enqueue()
 {
     const time_point now = steadyNow();
     waiting_request waiting;
     waiting.ticket = m_context.nextTicket();
-    waiting.priority = m_holder && m_holder->priority ? *m_holder->priority : m_route->priority;
+    waiting.priority = priority();
+    waiting.routePriority = m_route->priority;
     waiting.arrivedAt = m_arrivedAt;
     waiting.isCallerRetry = m_isCallerRetry;
     const duration timeToFirstByte = m_context.runners().expectedTimeToFirstByte(m_pool);
--- a/fleet/request_relay.h
+++ b/fleet/request_relay.h
@@ -45,6 +45,8 @@
 private:
     bool authorize();
     void dispatchOrEnqueue();
+    // 0 is the highest.
+    std::int32_t priority() const;
     void enqueue();
     void startAttempt(const runner_id&);
     void onHead(const http_response_head&);
--- a/serving/admission_queue.cpp
+++ b/serving/admission_queue.cpp
@@ -1,6 +1,7 @@
 #include "serving/admission_queue.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace sardinelb {
 
@@ -9,12 +10,35 @@
 // The dispatch rate is measured over this time.
 constexpr duration rateWindow = std::chrono::seconds(1);
 
+// Arrivals are counted over this time. Over a shorter one the rate left for late requests varies so much that requests are
+// queued in one second and rejected in the next.
+constexpr duration arrivalWindow = std::chrono::seconds(3);
+
+// A late request is queued only if it is expected to start within this part of its remaining time.
+constexpr double lateWaitFraction = 0.5;
+
 // Lower bound, assumed while hardly any request has been dispatched.
 constexpr double minFreedSlotsPerSecond = 2;
 
+// Part of the slots that late requests get at least, since not all requests on time stay until they get a slot.
+constexpr double minLateFraction = 0.05;
+
+// One in this many requests is taken regardless of its priority.
+constexpr std::uint32_t fairTakeInterval = 8;
+
 constexpr duration minExpectedWait = std::chrono::milliseconds(100);
 constexpr duration maxExpectedWait = std::chrono::milliseconds(2500);
 
+duration waitFor(double slots, double slotsPerSecond)
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(slots / slotsPerSecond));
+}
+
+double perSecond(std::ptrdiff_t arrivals)
+{
+    return static_cast<double>(arrivals) / std::chrono::duration<double>(arrivalWindow).count();
+}
+
 bool precedes(const waiting_request& a, const waiting_request& b, time_point now)
 {
     if (a.priority != b.priority)
@@ -23,6 +47,8 @@
     const bool isBOnTime = now <= b.latestTimelyStart && !b.isCallerRetry;
     if (isAOnTime != isBOnTime)
         return isAOnTime;
+    if (a.routePriority != b.routePriority)
+        return a.routePriority < b.routePriority;
     if (a.isCallerRetry != b.isCallerRetry)
         return a.isCallerRetry;
     if (a.arrivedAt == b.arrivedAt)
@@ -38,21 +64,50 @@
     return std::max({ minFreedSlotsPerSecond, freedSlotsPerSecond, static_cast<double>(recent) });
 }
 
+double admission_queue::slotsPerSecondForLate(double freedSlotsPerSecond, time_point now) const
+{
+    const double rate = expectedFreedSlotsPerSecond(freedSlotsPerSecond, now);
+    const auto arrivals = std::count_if(m_arrivals.begin(), m_arrivals.end(), [&](const arrival& other) { return other.at > now - arrivalWindow; });
+    return std::max(rate * minLateFraction, rate - perSecond(arrivals));
+}
+
+double admission_queue::slotsPerSecondFor(const waiting_request& request, double freedSlotsPerSecond, time_point now) const
+{
+    const double rate = expectedFreedSlotsPerSecond(freedSlotsPerSecond, now);
+    const auto earlier = std::count_if(m_arrivals.begin(), m_arrivals.end(), [&](const arrival& other) {
+        const bool goesFirst = std::tie(other.priority, other.routePriority) < std::tie(request.priority, request.routePriority);
+        return other.at > now - arrivalWindow && goesFirst;
+    });
+    return std::max(rate / fairTakeInterval, rate - perSecond(earlier));
+}
+
+bool admission_queue::isOnTime(const waiting_request& request, time_point now) const
+{
+    return !request.isCallerRetry && now <= request.latestTimelyStart;
+}
+
 duration admission_queue::expectedWait(double freedSlotsPerSecond, time_point now) const
 {
-    const double seconds = static_cast<double>(m_waiting.size() + 1) / expectedFreedSlotsPerSecond(freedSlotsPerSecond, now);
-    const auto wait = std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+    const duration wait = waitFor(static_cast<double>(m_waiting.size() + 1), slotsPerSecondForLate(freedSlotsPerSecond, now));
     return std::clamp(wait, minExpectedWait, maxExpectedWait);
 }
 
 bool admission_queue::canServeInTime(const waiting_request& request, double freedSlotsPerSecond, time_point now) const
 {
-    const auto ahead = std::count_if(m_waiting.begin(), m_waiting.end(), [&](const waiting_request& other) {
+    const auto ahead = static_cast<double>(std::count_if(m_waiting.begin(), m_waiting.end(), [&](const waiting_request& other) {
         return precedes(other, request, now);
-    });
-    const double seconds = static_cast<double>(ahead + 1) / expectedFreedSlotsPerSecond(freedSlotsPerSecond, now);
-    const auto wait = std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
-    return now + wait <= request.latestStart;
+    }));
+    const double rate = slotsPerSecondFor(request, freedSlotsPerSecond, now);
+    if (isOnTime(request, now) && now + waitFor(ahead + 1, rate) <= request.latestTimelyStart)
+        return true;
+    const auto lateAhead = static_cast<double>(std::count_if(m_waiting.begin(), m_waiting.end(), [&](const waiting_request& other) {
+        return !isOnTime(other, now);
+    }));
+    // Those ahead on time are served first, late ones in the slots that are left.
+    const double onTimeAhead = std::max(0.0, ahead - lateAhead);
+    const duration wait = waitFor(onTimeAhead, rate) + waitFor(lateAhead + 1, slotsPerSecondForLate(freedSlotsPerSecond, now));
+    const auto remaining = std::chrono::duration<double>(request.latestStart - now);
+    return wait <= std::chrono::duration_cast<duration>(remaining * lateWaitFraction);
 }
 
 void admission_queue::add(const waiting_request& request)
@@ -65,11 +120,29 @@
     std::erase_if(m_waiting, [&](const waiting_request& request) { return request.ticket == ticket; });
 }
 
+std::vector<waiting_request>::iterator admission_queue::nextOfLowestPriority(time_point now)
+{
+    auto next = m_waiting.end();
+    for (auto request = m_waiting.begin(); request != m_waiting.end(); ++request) {
+        if (!isOnTime(*request, now))
+            continue;
+        const bool isLower = next != m_waiting.end() && std::tie(request->priority, request->routePriority) > std::tie(next->priority, next->routePriority);
+        const bool isEqual = next != m_waiting.end() && std::tie(request->priority, request->routePriority) == std::tie(next->priority, next->routePriority);
+        if (next == m_waiting.end() || isLower || (isEqual && request->arrivedAt < next->arrivedAt))
+            next = request;
+    }
+    return next;
+}
+
 std::optional<waiting_request> admission_queue::takeNext(time_point now)
 {
-    const auto next = std::min_element(m_waiting.begin(), m_waiting.end(), [&](const waiting_request& a, const waiting_request& b) {
-        return precedes(a, b, now);
-    });
+    const bool isFairTake = ++m_takenCount % fairTakeInterval == 0;
+    auto next = isFairTake ? nextOfLowestPriority(now) : m_waiting.end();
+    if (next == m_waiting.end()) {
+        next = std::min_element(m_waiting.begin(), m_waiting.end(), [&](const waiting_request& a, const waiting_request& b) {
+            return precedes(a, b, now);
+        });
+    }
     if (next == m_waiting.end())
         return std::nullopt;
     waiting_request taken = *next;
@@ -77,18 +150,32 @@
     return taken;
 }
 
-std::vector<waiting_request> admission_queue::takeExpired(time_point now)
+std::vector<waiting_request> admission_queue::takeExpired(double freedSlotsPerSecond, time_point now)
 {
+    std::sort(m_waiting.begin(), m_waiting.end(), [&](const waiting_request& a, const waiting_request& b) { return precedes(a, b, now); });
+    const double spare = slotsPerSecondForLate(freedSlotsPerSecond, now);
     std::vector<waiting_request> expired;
+    double lateAhead = 0;
     std::erase_if(m_waiting, [&](const waiting_request& request) {
-        if (now <= request.latestStart)
+        const bool isLate = !isOnTime(request, now);
+        const duration wait = isLate ? waitFor(lateAhead, spare) : duration {};
+        if (now + wait <= request.latestStart) {
+            lateAhead += isLate ? 1 : 0;
             return false;
+        }
         expired.push_back(request);
         return true;
     });
     return expired;
 }
 
+void admission_queue::onArrival(std::int32_t priority, std::int32_t routePriority, time_point now)
+{
+    m_arrivals.push_back({ now, priority, routePriority });
+    while (m_arrivals.front().at < now - arrivalWindow)
+        m_arrivals.pop_front();
+}
+
 void admission_queue::onDispatch(time_point now)
 {
     m_dispatchTimes.push_back(now);
--- a/serving/waiting_request.h
+++ b/serving/waiting_request.h
@@ -11,8 +11,9 @@
 struct waiting_request {
     // Assigned by the entry; unique among the waiting requests.
     std::uint64_t ticket = 0;
-    // 0 is the highest.
+    // 0 is the highest. The priority of the route decides among requests of the same priority.
     std::int32_t priority = 0;
+    std::int32_t routePriority = 0;
     team_id team;
     time_point arrivedAt;
     // Whether the caller was rejected before and retries; callers rarely retry a second time.
