Spread tables over the links of all entries and confirm equal revisions

An entry now reads a table from one other at a time, and rejects reads that its link could not send within 0.2 s; those that have it tell the others. An equal revision with the same digest confirms too, and a poller tells the others after each answer.

--- a/fleet/entry_process.cpp
+++ b/fleet/entry_process.cpp
@@ -43,6 +43,13 @@
 // Entries that rely on others to poll the list of runners poll it themselves when it has not been confirmed for this long.
 constexpr std::chrono::milliseconds runnerListTimeout { 1100 };
 
+// An entry reads a table from one other entry at a time, and from the next one if the first has not answered by then.
+constexpr duration peerReadTimeout = std::chrono::milliseconds(400);
+
+// An entry rejects table reads while those before take longer than this to send. Entries that have just got the table tell the
+// others, so that a large one spreads over the links of all instead of waiting for that of the first.
+constexpr duration maxTableBacklog = std::chrono::milliseconds(200);
+
 constexpr std::chrono::milliseconds stopCheckInterval { 100 };
 
 // A stopping entry aborts the remaining requests this long before the platform would kill it.
@@ -74,8 +81,15 @@
     // Table rows as read from the store, served to peers that cannot reach it.
     std::map<std::string, platform::store_row> configurationRows;
     std::map<std::string, platform::store_row> runnerRows;
-    // Pending table reads from other entries, by IP address and table.
-    std::map<std::string, std::unique_ptr<platform::store_client>> peerReads;
+    // Read of a table from another entry.
+    struct peer_read {
+        std::unique_ptr<platform::store_client> client;
+        time_point startedAt;
+    };
+    // The last read of each table from another entry, while it is in progress.
+    std::map<std::string, peer_read> peerReads;
+    // When the link will have sent the tables that other entries have read.
+    time_point tablesSentAt;
     std::shared_ptr<http_listener> callerServer;
     std::shared_ptr<http_listener> statusServer;
     std::shared_ptr<http_listener> tableServer;
@@ -105,6 +119,7 @@
     void onPeerVersions(const std::string& ip, const entry_peers::known_versions&);
     void readFromPeer(const std::string& ip, std::string_view table, platform::table_follower&);
     http_server_connection::hooks tableServerHooks();
+    void sendTable(const std::shared_ptr<http_server_connection>&, const std::map<std::string, platform::store_row>& rows, row_revision);
     void respondWithStatus(const std::shared_ptr<http_server_connection>&, const http_request_message&);
     void stop();
     void advanceStop();
@@ -174,23 +189,36 @@
     http_server_connection::hooks hooks;
     hooks.onRequest = [this](const std::shared_ptr<http_server_connection>& caller, http_request_message&& message) {
         const std::string table = platform::requestedTable(message.target);
-        std::vector<platform::store_row> rows;
-        if (table == platform::configurationTable) {
-            for (const auto& [key, row] : configurationRows)
-                rows.push_back(row);
-            caller->respond(200, "", platform::encodeRows(rows, configurationFollower->revision()));
-        } else if (table == platform::runnerTable) {
-            for (const auto& [key, row] : runnerRows)
-                rows.push_back(row);
-            caller->respond(200, "", platform::encodeRows(rows, runnerFollower->revision()));
-        } else {
+        if (table == platform::configurationTable)
+            sendTable(caller, configurationRows, configurationFollower->revision());
+        else if (table == platform::runnerTable)
+            sendTable(caller, runnerRows, runnerFollower->revision());
+        else
             caller->respond(404, "", "");
-        }
     };
     hooks.onRejected = [](int, const char*) {};
     return hooks;
 }
 
+void entry_process::implementation::sendTable(const std::shared_ptr<http_server_connection>& caller, const std::map<std::string, platform::store_row>& rows, row_revision revision)
+{
+    const time_point now = steadyNow();
+    tablesSentAt = std::max(tablesSentAt, now);
+    if (tablesSentAt - now > maxTableBacklog) {
+        metrics.count("table_read_rejected");
+        caller->respond(503, "", "");
+        return;
+    }
+    std::vector<platform::store_row> copies;
+    for (const auto& [key, row] : rows)
+        copies.push_back(row);
+    const std::string body = platform::encodeRows(copies, revision);
+    constexpr double bitsPerByte = 8;
+    constexpr double bitsPerMegabit = 1e6;
+    tablesSentAt += std::chrono::duration_cast<duration>(std::chrono::duration<double>(static_cast<double>(body.size()) * bitsPerByte / (options.linkMegabitsPerSecond * bitsPerMegabit)));
+    caller->respond(200, "", body);
+}
+
 entry_peers::known_versions entry_process::implementation::localVersions() const
 {
     return { entry.configurationVersion(), runnerFollower->revision(), listing.digest(), runnerFollower->timeSinceConfirmed() };
@@ -200,25 +228,32 @@
 {
     if (versions.configuration > entry.configurationVersion())
         readFromPeer(ip, platform::configurationTable, *configurationFollower);
-    if (versions.runnerList <= runnerFollower->revision())
+    // In quiet times the revision stays the same for long, and a peer that has asked the store confirms it.
+    if (versions.runnerList < runnerFollower->revision())
         return;
     if (versions.runnerDigest == listing.digest())
         runnerFollower->confirmRevision(versions.runnerList, std::chrono::duration_cast<std::chrono::milliseconds>(versions.runnerListAge));
-    else
+    else if (versions.runnerList > runnerFollower->revision())
         readFromPeer(ip, platform::runnerTable, *runnerFollower);
 }
 
 void entry_process::implementation::readFromPeer(const std::string& ip, std::string_view table, platform::table_follower& follower)
 {
-    const std::string readKey = ip + " " + std::string(table);
-    if (peerReads.contains(readKey))
+    const time_point now = steadyNow();
+    peer_read& read = peerReads[std::string(table)];
+    if (read.client && now - read.startedAt < peerReadTimeout)
         return;
     log.write("peer_read", { { "ip", ip }, { "table", table }, { "store_silent_ms", follower.timeSinceConfirmed().count() } });
     const std::string address = ip + ":" + std::to_string(options.firstPeerPort + entryTablePortOffset);
-    auto& client = peerReads[readKey] = std::make_unique<platform::store_client>(context.get_executor(), address);
-    client->read(std::string(table), "", [this, readKey, &follower](const platform::store_response& response) {
+    read = { std::make_unique<platform::store_client>(context.get_executor(), address), now };
+    read.client->read(std::string(table), "", [this, key = std::string(table), now, &follower](const platform::store_response& response) {
         follower.offerSnapshot(response);
-        boost::asio::post(context, [this, readKey] { peerReads.erase(readKey); });
+        boost::asio::post(context, [this, key, now] {
+            // A later read may have replaced this one.
+            const auto known = peerReads.find(key);
+            if (known != peerReads.end() && known->second.startedAt == now)
+                peerReads.erase(known);
+        });
     });
 }
 
@@ -301,6 +336,9 @@
     hasRunnerList = hasRunnerList || isFullSnapshot;
     if (isFullSnapshot || !changes.empty())
         applyListing();
+    // Tells the others that the list has been confirmed, so that they need not ask the store themselves.
+    if (peers.isStorePoller())
+        peers.sendVersions();
 }
 
 void entry_process::implementation::applyListing()
