Let late requests wait for a slot until their latest start

Rejecting late requests in favour of new ones lost more than it gained: a caller returns once, into the same overload, and is then not served at all.

--- a/fleet/entry_context.cpp
+++ b/fleet/entry_context.cpp
@@ -116,7 +116,7 @@
     if (queue == m_queues.end())
         return;
     const time_point now = steadyNow();
-    for (const waiting_request& expired : queue->second.takeExpired(freedSlotsPerSecond(pool), now)) {
+    for (const waiting_request& expired : queue->second.takeExpired(now)) {
         const auto relay = m_waiting[expired.ticket].lock();
         m_waiting.erase(expired.ticket);
         if (relay)
--- a/fleet/request_relay.cpp
+++ b/fleet/request_relay.cpp
@@ -109,7 +109,7 @@
         m_context.demand().onArrival();
     m_isCallerRetry = m_request.callerTimeout && *m_request.callerTimeout < m_context.updateMaxCallerTimeout(m_route->name, *m_request.callerTimeout) * callerRetryTimeoutRatio;
     if (!m_isCallerRetry)
-        m_context.queueOf(m_pool).onArrival(priority(), m_route->priority, m_arrivedAt);
+        m_context.queueOf(m_pool).onArrival(m_arrivedAt);
     m_deadlineTimer.expires_after(m_deadline - m_arrivedAt);
     m_deadlineTimer.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
         if (!error)
--- a/serving/admission_queue.cpp
+++ b/serving/admission_queue.cpp
@@ -10,13 +10,9 @@
 // The dispatch rate is measured over this time.
 constexpr duration rateWindow = std::chrono::seconds(1);
 
-// Arrivals are counted over this time. Over a shorter one the rate left for late requests varies so much that requests are
-// queued in one second and rejected in the next.
+// Arrivals are counted over this time. Over a shorter one the rate left for late requests varies much.
 constexpr duration arrivalWindow = std::chrono::seconds(3);
 
-// A late request is queued only if it is expected to start within this part of its remaining time.
-constexpr double lateWaitFraction = 0.5;
-
 // Lower bound, assumed while hardly any request has been dispatched.
 constexpr double minFreedSlotsPerSecond = 2;
 
@@ -34,11 +30,6 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(slots / slotsPerSecond));
 }
 
-double perSecond(std::ptrdiff_t arrivals)
-{
-    return static_cast<double>(arrivals) / std::chrono::duration<double>(arrivalWindow).count();
-}
-
 bool precedes(const waiting_request& a, const waiting_request& b, time_point now)
 {
     if (a.priority != b.priority)
@@ -67,18 +58,9 @@
 double admission_queue::slotsPerSecondForLate(double freedSlotsPerSecond, time_point now) const
 {
     const double rate = expectedFreedSlotsPerSecond(freedSlotsPerSecond, now);
-    const auto arrivals = std::count_if(m_arrivals.begin(), m_arrivals.end(), [&](const arrival& other) { return other.at > now - arrivalWindow; });
-    return std::max(rate * minLateFraction, rate - perSecond(arrivals));
-}
-
-double admission_queue::slotsPerSecondFor(const waiting_request& request, double freedSlotsPerSecond, time_point now) const
-{
-    const double rate = expectedFreedSlotsPerSecond(freedSlotsPerSecond, now);
-    const auto earlier = std::count_if(m_arrivals.begin(), m_arrivals.end(), [&](const arrival& other) {
-        const bool goesFirst = std::tie(other.priority, other.routePriority) < std::tie(request.priority, request.routePriority);
-        return other.at > now - arrivalWindow && goesFirst;
-    });
-    return std::max(rate / fairTakeInterval, rate - perSecond(earlier));
+    const auto arrivals = std::count_if(m_arrivalTimes.begin(), m_arrivalTimes.end(), [&](time_point at) { return at > now - arrivalWindow; });
+    const double arrivalsPerSecond = static_cast<double>(arrivals) / std::chrono::duration<double>(arrivalWindow).count();
+    return std::max(rate * minLateFraction, rate - arrivalsPerSecond);
 }
 
 bool admission_queue::isOnTime(const waiting_request& request, time_point now) const
@@ -97,17 +79,8 @@
     const auto ahead = static_cast<double>(std::count_if(m_waiting.begin(), m_waiting.end(), [&](const waiting_request& other) {
         return precedes(other, request, now);
     }));
-    const double rate = slotsPerSecondFor(request, freedSlotsPerSecond, now);
-    if (isOnTime(request, now) && now + waitFor(ahead + 1, rate) <= request.latestTimelyStart)
-        return true;
-    const auto lateAhead = static_cast<double>(std::count_if(m_waiting.begin(), m_waiting.end(), [&](const waiting_request& other) {
-        return !isOnTime(other, now);
-    }));
-    // Those ahead on time are served first, late ones in the slots that are left.
-    const double onTimeAhead = std::max(0.0, ahead - lateAhead);
-    const duration wait = waitFor(onTimeAhead, rate) + waitFor(lateAhead + 1, slotsPerSecondForLate(freedSlotsPerSecond, now));
-    const auto remaining = std::chrono::duration<double>(request.latestStart - now);
-    return wait <= std::chrono::duration_cast<duration>(remaining * lateWaitFraction);
+    // A late response is better for a caller than none, and demand may fall before the request expires.
+    return now + waitFor(ahead + 1, expectedFreedSlotsPerSecond(freedSlotsPerSecond, now)) <= request.latestStart;
 }
 
 void admission_queue::add(const waiting_request& request)
@@ -150,30 +123,23 @@
     return taken;
 }
 
-std::vector<waiting_request> admission_queue::takeExpired(double freedSlotsPerSecond, time_point now)
+std::vector<waiting_request> admission_queue::takeExpired(time_point now)
 {
-    std::sort(m_waiting.begin(), m_waiting.end(), [&](const waiting_request& a, const waiting_request& b) { return precedes(a, b, now); });
-    const double spare = slotsPerSecondForLate(freedSlotsPerSecond, now);
     std::vector<waiting_request> expired;
-    double lateAhead = 0;
     std::erase_if(m_waiting, [&](const waiting_request& request) {
-        const bool isLate = !isOnTime(request, now);
-        const duration wait = isLate ? waitFor(lateAhead, spare) : duration {};
-        if (now + wait <= request.latestStart) {
-            lateAhead += isLate ? 1 : 0;
+        if (now <= request.latestStart)
             return false;
-        }
         expired.push_back(request);
         return true;
     });
     return expired;
 }
 
-void admission_queue::onArrival(std::int32_t priority, std::int32_t routePriority, time_point now)
+void admission_queue::onArrival(time_point now)
 {
-    m_arrivals.push_back({ now, priority, routePriority });
-    while (m_arrivals.front().at < now - arrivalWindow)
-        m_arrivals.pop_front();
+    m_arrivalTimes.push_back(now);
+    while (m_arrivalTimes.front() < now - arrivalWindow)
+        m_arrivalTimes.pop_front();
 }
 
 void admission_queue::onDispatch(time_point now)
--- a/serving/admission_queue.h
+++ b/serving/admission_queue.h
@@ -15,13 +15,13 @@
 // Pure state machine.
 class admission_queue {
 public:
-    // Whether a new request is worth queueing: it would start early enough for its objective, or, late, in a slot that requests
-    // on time leave. If not, it is to be rejected at once. Slots become free at `freedSlotsPerSecond` or at the measured rate,
-    // if that is higher.
+    // Whether a new request would start in time if it were queued: early enough for its objective, or at least before its
+    // latest start. If not, it is to be rejected at once. Slots become free at `freedSlotsPerSecond` or at the measured rate, if
+    // that is higher.
     bool canServeInTime(const waiting_request&, double freedSlotsPerSecond, time_point now) const;
 
-    // Records that a request with these priorities arrived for the first time, whether it has to wait or not.
-    void onArrival(std::int32_t priority, std::int32_t routePriority, time_point now);
+    // Records that a request of the pool arrived for the first time, whether it has to wait or not.
+    void onArrival(time_point now);
 
     void add(const waiting_request&);
     void remove(std::uint64_t ticket);
@@ -32,9 +32,8 @@
     // an old request has the least time left to complete.
     std::optional<waiting_request> takeNext(time_point now);
 
-    // Removes and returns the requests that cannot be served any more: those whose latest start has passed, and late ones for
-    // which new requests, which go first, leave no slot before their latest start.
-    std::vector<waiting_request> takeExpired(double freedSlotsPerSecond, time_point now);
+    // Removes and returns the requests whose latest start has passed.
+    std::vector<waiting_request> takeExpired(time_point now);
 
     // Records that a request of the pool got a slot.
     void onDispatch(time_point now);
@@ -47,22 +46,14 @@
 
 private:
     double expectedFreedSlotsPerSecond(double freedSlotsPerSecond, time_point now) const;
-    struct arrival {
-        time_point at;
-        std::int32_t priority = 0;
-        std::int32_t routePriority = 0;
-    };
-
     // Rate of free slots that new requests leave for late ones.
     double slotsPerSecondForLate(double freedSlotsPerSecond, time_point now) const;
-    // Rate of free slots that new requests of higher priorities leave for one like this.
-    double slotsPerSecondFor(const waiting_request&, double freedSlotsPerSecond, time_point now) const;
     bool isOnTime(const waiting_request&, time_point now) const;
     std::vector<waiting_request>::iterator nextOfLowestPriority(time_point now);
 
     std::vector<waiting_request> m_waiting;
     std::deque<time_point> m_dispatchTimes;
-    std::deque<arrival> m_arrivals;
+    std::deque<time_point> m_arrivalTimes;
     std::uint32_t m_takenCount = 0;
 };
 
