Reconcile the list of runners before removing those without entries

A peer told a newer revision with the same digest, because there they had registered again, and the entry took that as a confirmation of its own list; 2.1 s later it removed them all. It never read the list again, since the revision stayed the same. Now an entry that keeps runners without entries reads the peer's rows, and lists that differ at the same revision are read again from the store. Also, for fewer bytes between zones: entries pass on only the candidates for coordinator that they hear of themselves, and collectors of demand are chosen within an availability zone.

--- a/expert_map/demand_route.h
+++ b/expert_map/demand_route.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "state/ids.h"
 #include "state/time.h"
 
 #include <algorithm>
@@ -9,20 +8,21 @@
 namespace sardinelb {
 
 // How the demand of a group reaches its coordinator: each rank sends to a collector, which sums the reports of its ranks
-// and sends the sum to the coordinator. A small group has no collectors.
+// and sends the sum to the coordinator. A small group has no collectors. Positions count the ranks in the order of the
+// coordinator, in which ranks of the same availability zone stand together, so that most reports stay in their zone.
 struct demand_route {
     std::uint32_t groupSize = 1;
-    // Number of consecutive ranks that share a collector. 1 if all ranks report to the coordinator.
+    // Number of consecutive positions that share a collector. 1 if all ranks report to the coordinator.
     std::uint32_t ranksPerCollector = 1;
     // Time between two reports of a rank or a collector.
     duration interval {};
 
-    // The rank that collects the reports of `rank`; a rank that is its own collector reports to the coordinator. It is the
-    // last rank of a block, because the lowest ranks coordinate the group.
-    rank_id collectorOf(rank_id rank) const
+    // The position that collects the reports of `position`; one that is its own collector reports to the coordinator. It is
+    // the last one of a block, because the lowest ranks coordinate the group.
+    std::uint32_t collectorOf(std::uint32_t position) const
     {
-        const std::uint32_t block = rank.value() / ranksPerCollector;
-        return rank_id(std::min((block + 1) * ranksPerCollector, groupSize) - 1);
+        const std::uint32_t block = position / ranksPerCollector;
+        return std::min((block + 1) * ranksPerCollector, groupSize) - 1;
     }
 };
 
--- a/fleet/agent_process.cpp
+++ b/fleet/agent_process.cpp
@@ -107,6 +107,7 @@
     std::map<rank_id, known_member> members;
     // Runner addresses of the group, including ranks that are silent.
     std::map<rank_id, std::string> addresses;
+    std::map<rank_id, availability_zone_id> zones;
     group_coordinator::limits limits;
     // Last report of the local rank.
     std::optional<rank_message> localReport;
@@ -149,6 +150,8 @@
     void reportDemand();
     void sendDemand(const demand_reporting::outgoing&);
     void sendDemandRoutes();
+    // The ranks that have reported, ordered by availability zone.
+    std::vector<rank_id> ranksByZone() const;
     double linkBytesPerSecond() const;
     duration loadReportInterval() const;
     duration rankReportInterval() const;
@@ -261,6 +264,7 @@
     lastHeardAt[message.status.rank] = steadyNow();
     if (!message.address.empty())
         addresses[message.status.rank] = message.address;
+    zones[message.status.rank] = message.zone;
     coordinator->onReport(message, steadyNow());
 }
 
@@ -359,6 +363,7 @@
     message.status = report->status;
     message.running = report->load.running;
     message.address = options.runnerAddress;
+    message.zone = options.zone;
     const rank_status before = localReport ? std::move(localReport->status) : rank_status {};
     if (!localReport || before.prepared != message.status.prepared)
         preparedAt = now;
@@ -409,6 +414,20 @@
         socket->send(encode(outgoing.report), *demandCoordinator);
 }
 
+std::vector<rank_id> agent_process::implementation::ranksByZone() const
+{
+    std::vector<std::pair<availability_zone_id, rank_id>> ranks { { options.zone, localReport->status.rank } };
+    for (const auto& [rank, zone] : zones) {
+        if (rank != localReport->status.rank)
+            ranks.emplace_back(zone, rank);
+    }
+    std::sort(ranks.begin(), ranks.end());
+    std::vector<rank_id> order;
+    for (const auto& [zone, rank] : ranks)
+        order.push_back(rank);
+    return order;
+}
+
 void agent_process::implementation::sendDemandRoutes()
 {
     const time_point now = steadyNow();
@@ -417,8 +436,11 @@
     nextDemandRoutesAt = now + demandRouteInterval;
     const demand_route route = coordinator->demandRoute(linkBytesPerSecond() * demandLinkFraction);
     demand_route_message message { localReport->group, localReport->status.epoch, "", route.interval };
-    for (const auto& [rank, address] : addresses) {
-        const rank_id collector = route.collectorOf(rank);
+    const std::vector<rank_id> order = ranksByZone();
+    for (std::uint32_t position = 0; position < order.size(); ++position) {
+        const rank_id rank = order[position];
+        const std::string address = addressOf(rank);
+        const rank_id collector = order[std::min<std::size_t>(route.collectorOf(position), order.size() - 1)];
         const auto heard = lastHeardAt.find(collector);
         const bool isCollected = collector != rank && heard != lastHeardAt.end() && now - heard->second <= collectorTimeout;
         message.collector = isCollected ? addressOf(collector) : std::string();
@@ -570,7 +592,7 @@
         runner.readReport(addressOf(rank), [this](std::optional<platform::runner_report> report) {
             if (!report || !coordinator || report->load.group != localReport->group)
                 return;
-            coordinator->onReport({ report->load.group, report->groupSize, report->status, report->load.running, addressOf(report->status.rank) }, steadyNow());
+            coordinator->onReport({ report->load.group, report->groupSize, report->status, report->load.running, addressOf(report->status.rank), {} }, steadyNow());
         });
     }
 }
--- a/fleet/entry_peers.cpp
+++ b/fleet/entry_peers.cpp
@@ -139,8 +139,7 @@
 {
     entry_heartbeat_message heartbeat = createHeartbeat();
     heartbeat.arrivalsPerSecond = static_cast<float>(m_arrivalsPerSecond);
-    for (const auto& [group, candidates] : m_candidates)
-        heartbeat.groups.push_back({ group, candidatesOf(group) });
+    heartbeat.groups = directCandidates();
     const std::string bytes = encode(heartbeat);
     for (const auto& [ip, at] : m_entries) {
         if (const auto to = udpEndpoint(ip + ":0", m_settings.firstPeerPort + entryDatagramPortOffset))
@@ -177,14 +176,34 @@
     return members;
 }
 
-void entry_peers::addCandidate(const group_id& group, rank_id rank, const std::string& address, time_point heardAt)
+std::vector<entry_heartbeat_message::group_candidates> entry_peers::directCandidates() const
+{
+    const time_point now = steadyNow();
+    std::vector<entry_heartbeat_message::group_candidates> groups;
+    for (const auto& [group, candidates] : m_candidates) {
+        entry_heartbeat_message::group_candidates direct { group, {} };
+        for (const auto& [rank, candidate] : candidates) {
+            if (now - candidate.heardDirectlyAt <= agentTimeout)
+                direct.members.push_back({ rank, candidate.address, now - candidate.heardDirectlyAt });
+        }
+        if (!direct.members.empty())
+            groups.push_back(std::move(direct));
+    }
+    return groups;
+}
+
+void entry_peers::addCandidate(const group_id& group, rank_id rank, const std::string& address, time_point heardAt, bool isDirect)
 {
     if (group.value().empty() || steadyNow() - heardAt > candidateTimeout)
         return;
     auto& candidates = m_candidates[group];
     coordinator_candidate& known = candidates[rank];
-    if (heardAt >= known.heardAt)
-        known = { address, heardAt };
+    if (heardAt >= known.heardAt) {
+        known.address = address;
+        known.heardAt = heardAt;
+    }
+    if (isDirect)
+        known.heardDirectlyAt = heardAt;
     if (candidates.size() > candidatesPerGroup)
         candidates.erase(std::prev(candidates.end()));
 }
@@ -238,7 +257,7 @@
     const time_point now = steadyNow();
     for (const auto& group : heartbeat.groups) {
         for (const auto& member : group.members)
-            addCandidate(group.group, member.rank, member.address, now - member.age);
+            addCandidate(group.group, member.rank, member.address, now - member.age, false);
     }
     m_hooks.onPeerVersions(ip, { heartbeat.configuration, heartbeat.runnerList, heartbeat.runnerDigest, heartbeat.runnerListAge });
 }
@@ -259,7 +278,7 @@
         load.runner = id;
         m_entry.runners().onLoadReport(load, now);
         m_agents[id] = { load, record.listing.address, now };
-        addCandidate(load.group, load.rank, record.listing.address, now);
+        addCandidate(load.group, load.rank, record.listing.address, now, true);
         m_entry.dispatchWaiting(record.listing.pool);
         return;
     }
--- a/fleet/entry_peers.h
+++ b/fleet/entry_peers.h
@@ -69,6 +69,8 @@
     struct coordinator_candidate {
         std::string address;
         time_point heardAt;
+        // When this entry itself heard of the agent. Only this is passed on, since every entry tells all others.
+        time_point heardDirectlyAt;
     };
 
     void tick();
@@ -83,7 +85,8 @@
     void logGroups();
     void setGroup(entry_heartbeat_message&, const runner_id&, const pool_id&) const;
     std::vector<entry_heartbeat_message::member> candidatesOf(const group_id&) const;
-    void addCandidate(const group_id&, rank_id, const std::string& address, time_point heardAt);
+    std::vector<entry_heartbeat_message::group_candidates> directCandidates() const;
+    void addCandidate(const group_id&, rank_id, const std::string& address, time_point heardAt, bool isDirect);
 
     boost::asio::io_context& m_context;
     const platform::settings& m_settings;
--- a/fleet/entry_process.cpp
+++ b/fleet/entry_process.cpp
@@ -15,6 +15,7 @@
 #include "platform/store_client.h"
 #include "platform/table_follower.h"
 #include "relay/http_request_message.h"
+#include "serving/list_reconciliation.h"
 #include "serving/route_index.h"
 #include "serving/runner_listing.h"
 #include "serving/serving_configuration.h"
@@ -228,13 +229,21 @@
 {
     if (versions.configuration > entry.configurationVersion())
         readFromPeer(ip, platform::configurationTable, *configurationFollower);
-    // In quiet times the revision stays the same for long, and a peer that has asked the store confirms it.
-    if (versions.runnerList < runnerFollower->revision())
+    const list_version own { runnerFollower->revision(), listing.digest(), listing.nextExpiry().has_value() };
+    switch (reconcile(own, { versions.runnerList, versions.runnerDigest })) {
+    case list_action::None:
         return;
-    if (versions.runnerDigest == listing.digest())
+    case list_action::Confirm:
         runnerFollower->confirmRevision(versions.runnerList, std::chrono::duration_cast<std::chrono::milliseconds>(versions.runnerListAge));
-    else if (versions.runnerList > runnerFollower->revision())
+        return;
+    case list_action::ReadFromPeer:
         readFromPeer(ip, platform::runnerTable, *runnerFollower);
+        return;
+    case list_action::ReadFromStore:
+        log.write("list_differs", { { "ip", ip }, { "revision", static_cast<std::int64_t>(versions.runnerList.value()) } });
+        runnerFollower->requestFullRead();
+        return;
+    }
 }
 
 void entry_process::implementation::readFromPeer(const std::string& ip, std::string_view table, platform::table_follower& follower)
--- a/fleet/fleet_message.cpp
+++ b/fleet/fleet_message.cpp
@@ -68,7 +68,7 @@
         const auto body = wire::Createrank_reportDirect(builder, message.group.value().c_str(), status.rank.value(), message.groupSize,
             status.epoch, status.step.value(), status.map.value(), status.prepared.value_or(map_version {}).value(), status.prepared.has_value(),
             status.armed.value_or(map_version {}).value(), status.armed.has_value(), status.held.value_or(step_number {}).value(),
-            status.held.has_value(), status.isOpen, status.pace, message.running, &counts, &experts, message.address.c_str());
+            status.held.has_value(), status.isOpen, status.pace, message.running, &counts, &experts, message.address.c_str(), message.zone.value().c_str());
         finish(wire::datagram_body::rank_report, body.Union());
     }
 
@@ -197,6 +197,7 @@
     status.pace = body.pace();
     readExperts(body, status);
     message.address = text(body.address());
+    message.zone = availability_zone_id(text(body.zone()));
     return message;
 }
 
--- a/fleet/fleet_message.h
+++ b/fleet/fleet_message.h
@@ -72,6 +72,7 @@
     std::uint32_t running = 0;
     // IP address and port of the rank's runner.
     std::string address;
+    availability_zone_id zone;
 };
 
 using fleet_message = std::variant<entry_heartbeat_message, load_message, rank_message, demand_report_message, demand_route_message, delegated_order_message, delegated_result_message>;
--- a/tests/fleet/group_messages_test.cpp
+++ b/tests/fleet/group_messages_test.cpp
@@ -76,11 +76,11 @@
 TEST_F(demand_gathering, groupOf96_collectors_areSpreadAndLeaveOutTheCoordinators)
 {
     const demand_route route = chooseDemandRoute(96, reportBytes, budget);
-    std::map<rank_id, int> reports;
-    for (std::uint32_t rank = 0; rank < 96; ++rank)
-        ++reports[route.collectorOf(rank_id(rank))];
-    EXPECT_FALSE(reports.contains(rank_id(0)));
-    EXPECT_FALSE(reports.contains(rank_id(1)));
+    std::map<std::uint32_t, int> reports;
+    for (std::uint32_t position = 0; position < 96; ++position)
+        ++reports[route.collectorOf(position)];
+    EXPECT_FALSE(reports.contains(0));
+    EXPECT_FALSE(reports.contains(1));
     for (const auto& [collector, count] : reports)
         EXPECT_LE(count, 10);
 }
@@ -89,7 +89,7 @@
 {
     const demand_route route = chooseDemandRoute(8, 384, 625000);
     EXPECT_EQ(route.ranksPerCollector, 1U);
-    EXPECT_EQ(route.collectorOf(rank_id(5)), rank_id(5));
+    EXPECT_EQ(route.collectorOf(5), 5U);
 }
 
 TEST_F(demand_gathering, collector_reportsOfItsRanks_areSummedWithItsOwn)
--- a/tests/fleet/serving_decisions_test.cpp
+++ b/tests/fleet/serving_decisions_test.cpp
@@ -1,5 +1,6 @@
 #include "serving/event_splitter.h"
 #include "serving/failover_action.h"
+#include "serving/list_reconciliation.h"
 #include "serving/retry_budget_share.h"
 #include "serving/route_index.h"
 #include "serving/runner_listing.h"
@@ -178,6 +179,28 @@
 
 // Guards against requests addressed to a crashed process while its entry still exists: the new process at the same address
 // rejects them with 421.
+// Guards against an entry that removes all runners after an outage of the store, because an equal list of a peer, in which they
+// had registered again, was taken as a confirmation of its own.
+TEST_F(runner_list, runnersKeptWithoutEntries_peerHasTheSameList_readFromPeer)
+{
+    EXPECT_EQ(reconcile({ row_revision(7), 99, true }, { row_revision(9), 99 }), list_action::ReadFromPeer);
+    EXPECT_EQ(reconcile({ row_revision(7), 99, false }, { row_revision(9), 99 }), list_action::Confirm);
+}
+
+// Guards against an entry that keeps a wrong list for ever, since nothing changes in the store that would make it read again.
+TEST_F(runner_list, listDiffersAtTheSameRevision_readFromStore)
+{
+    EXPECT_EQ(reconcile({ row_revision(9), 1 }, { row_revision(9), 99 }), list_action::ReadFromStore);
+    EXPECT_EQ(reconcile({ row_revision(9), 99, true }, { row_revision(9), 99 }), list_action::None);
+    EXPECT_EQ(reconcile({ row_revision(9), 1 }, { row_revision(8), 99 }), list_action::None);
+}
+
+// Guards against each entry asking the store in quiet times, in which the revision stays the same.
+TEST_F(runner_list, peerConfirmsTheSameRevision_confirmed)
+{
+    EXPECT_EQ(reconcile({ row_revision(9), 99 }, { row_revision(9), 99 }), list_action::Confirm);
+}
+
 TEST_F(runner_list, address_listedForOldAndNewProcess_newOneIsUsed)
 {
     runner_listing listing;
