--- a/fleet/agent_process.cpp
+++ b/fleet/agent_process.cpp
@@ -423,6 +423,7 @@
     }
     std::sort(ranks.begin(), ranks.end());
     std::vector<rank_id> order;
+    order.reserve(ranks.size());
     for (const auto& [zone, rank] : ranks)
         order.push_back(rank);
     return order;
--- a/fleet/entry_process.cpp
+++ b/fleet/entry_process.cpp
@@ -211,6 +211,7 @@
         return;
     }
     std::vector<platform::store_row> copies;
+    copies.reserve(rows.size());
     for (const auto& [key, row] : rows)
         copies.push_back(row);
     const std::string body = platform::encodeRows(copies, revision);
--- a/tests/fleet/group_messages_test.cpp
+++ b/tests/fleet/group_messages_test.cpp
@@ -53,8 +53,8 @@
     static double bytesPerSecond(std::uint32_t groupSize)
     {
         const demand_route route = chooseDemandRoute(groupSize, reportBytes, budget);
-        const double reports = route.ranksPerCollector > 1 ? static_cast<double>((groupSize + route.ranksPerCollector - 1) / route.ranksPerCollector) : groupSize;
-        return reports * reportBytes / std::chrono::duration<double>(route.interval).count();
+        const std::uint32_t collectors = (groupSize + route.ranksPerCollector - 1) / route.ranksPerCollector;
+        return static_cast<double>(collectors) * reportBytes / std::chrono::duration<double>(route.interval).count();
     }
 
     static constexpr std::size_t reportBytes = 3072;
--- a/transport/peer_links.cpp
+++ b/transport/peer_links.cpp
@@ -154,7 +154,7 @@
 
 peer_links::implementation::connection_ptr peer_links::implementation::createConnection(tcp::socket socket)
 {
-    const auto link = std::make_shared<connection>(std::move(socket));
+    auto link = std::make_shared<connection>(std::move(socket));
     std::erase_if(open, [](const auto& known) { return known.expired(); });
     open.push_back(link);
     return link;
