Greet the agents as soon as the list of runners changes

Cause (inc-57f3, all machines lose power at 33 s): an entry that had read the list told the agents of itself only at its next regular heartbeat, and a runner gets no requests before its agent has reported.

--- a/fleet/entry_peers.cpp
+++ b/fleet/entry_peers.cpp
@@ -115,6 +115,13 @@
     return static_cast<std::size_t>(lowerAddresses) < storePollerCount;
 }
 
+void entry_peers::onRunnersChanged()
+{
+    updateFollowedRunners();
+    sendVersions();
+    sendToAgents();
+}
+
 void entry_peers::announceStop()
 {
     m_isStopping = true;
--- a/fleet/entry_peers.h
+++ b/fleet/entry_peers.h
@@ -52,6 +52,10 @@
     // Tells all entries which versions this one holds, as after a change. Also runs twice a second.
     void sendVersions();
 
+    // Tells all entries, and the agents of the followed runners, after a change of the list of runners. A runner gets requests
+    // only when its agent has reported, so after a loss of all machines the next regular heartbeat would be late.
+    void onRunnersChanged();
+
     // Whether this is one of the few entries that poll the list of runners from the store for all. Depends only on the
     // addresses of the live entries, so that all entries agree.
     bool isStorePoller() const;
--- a/fleet/entry_process.cpp
+++ b/fleet/entry_process.cpp
@@ -369,7 +369,7 @@
     appliedDigest = listing.digest();
     entry.setRunners(runners);
     if (isChanged)
-        peers.sendVersions();
+        peers.onRunnersChanged();
     const auto expiry = listing.nextExpiry();
     if (!expiry)
         return;
