Clear a backlog in all slots while demand is well below the capacity

Now an entry with late requests uses all slots of the runners while arrivals are under 0.6 of what they could serve then.

--- a/fleet/entry_context.cpp
+++ b/fleet/entry_context.cpp
@@ -3,6 +3,7 @@
 #include "fleet/event_log.h"
 #include "fleet/request_relay.h"
 #include "fleet/steady_time.h"
+#include "serving/backlog.h"
 #include "serving/retry_delay.h"
 #include "serving/route_index.h"
 #include "serving/serving_configuration.h"
@@ -116,6 +117,7 @@
     if (queue == m_queues.end())
         return;
     const time_point now = steadyNow();
+    updateBacklog(pool, queue->second, now);
     for (const waiting_request& expired : queue->second.takeExpired(now)) {
         const auto relay = m_waiting[expired.ticket].lock();
         m_waiting.erase(expired.ticket);
@@ -131,6 +133,13 @@
     }
 }
 
+void entry_context::updateBacklog(const pool_id& pool, const admission_queue& queue, time_point now)
+{
+    const double arrivals = queue.arrivalsPerSecond(now);
+    const double capacity = m_runners.maxFreedSlotsPerSecond(pool) * m_demand.share();
+    m_runners.setClearingBacklog(pool, isBacklogClearable(queue.lateCount(now), arrivals, capacity));
+}
+
 void entry_context::dispatchWaiting()
 {
     bool isAnyWaiting = false;
--- a/fleet/entry_context.h
+++ b/fleet/entry_context.h
@@ -76,6 +76,8 @@
 
 private:
     void scheduleDispatch();
+    // Decides whether the runners of the pool should work off late requests in all their slots.
+    void updateBacklog(const pool_id&, const admission_queue&, time_point now);
 
     boost::asio::any_io_executor m_executor;
     const platform::settings& m_settings;
--- a/serving/admission_queue.cpp
+++ b/serving/admission_queue.cpp
@@ -58,9 +58,19 @@
 double admission_queue::slotsPerSecondForLate(double freedSlotsPerSecond, time_point now) const
 {
     const double rate = expectedFreedSlotsPerSecond(freedSlotsPerSecond, now);
+    return std::max(rate * minLateFraction, rate - arrivalsPerSecond(now));
+}
+
+double admission_queue::arrivalsPerSecond(time_point now) const
+{
     const auto arrivals = std::count_if(m_arrivalTimes.begin(), m_arrivalTimes.end(), [&](time_point at) { return at > now - arrivalWindow; });
-    const double arrivalsPerSecond = static_cast<double>(arrivals) / std::chrono::duration<double>(arrivalWindow).count();
-    return std::max(rate * minLateFraction, rate - arrivalsPerSecond);
+    return static_cast<double>(arrivals) / std::chrono::duration<double>(arrivalWindow).count();
+}
+
+std::size_t admission_queue::lateCount(time_point now) const
+{
+    const auto late = std::count_if(m_waiting.begin(), m_waiting.end(), [&](const waiting_request& request) { return !isOnTime(request, now); });
+    return static_cast<std::size_t>(late);
 }
 
 bool admission_queue::isOnTime(const waiting_request& request, time_point now) const
--- a/serving/admission_queue.h
+++ b/serving/admission_queue.h
@@ -44,6 +44,12 @@
 
     std::size_t size() const { return m_waiting.size(); }
 
+    // Number of waiting requests that can no longer meet their objective.
+    std::size_t lateCount(time_point now) const;
+
+    // Requests that arrived for the first time, a second.
+    double arrivalsPerSecond(time_point now) const;
+
 private:
     double expectedFreedSlotsPerSecond(double freedSlotsPerSecond, time_point now) const;
     // Rate of free slots that new requests leave for late ones.
--- a/serving/runner_directory.cpp
+++ b/serving/runner_directory.cpp
@@ -137,18 +137,31 @@
     record->rank = report.rank;
 }
 
-double runner_directory::limitPerRank(const group_id& group, const engine_profile& engine) const
+double runner_directory::objectiveLimit(const group_id& group, const engine_profile& engine) const
 {
     const auto known = m_groups.find(group);
     return known == m_groups.end() ? engine.slots : std::min<double>(engine.slots, known->second.requestsPerRank());
 }
 
+double runner_directory::limitPerRank(const runner_record& record, const engine_profile& engine) const
+{
+    return m_clearingBacklog.contains(record.listing.pool) ? engine.slots : objectiveLimit(record.group, engine);
+}
+
+void runner_directory::setClearingBacklog(const pool_id& pool, bool isClearing)
+{
+    if (isClearing)
+        m_clearingBacklog.insert(pool);
+    else
+        m_clearingBacklog.erase(pool);
+}
+
 std::uint32_t runner_directory::requestLimit(const runner_record& record) const
 {
     const engine_profile* engine = engineOf(record.listing.pool);
     if (!engine)
         return std::numeric_limits<std::uint32_t>::max();
-    const double limit = limitPerRank(record.group, *engine) * rankLimitMargin;
+    const double limit = limitPerRank(record, *engine) * rankLimitMargin;
     return std::min(engine->slots, static_cast<std::uint32_t>(std::ceil(limit)));
 }
 
@@ -163,6 +176,7 @@
         const runner_record& record = m_runners.at(id);
         group_use& use = groups[record.group];
         use.ownInFlight += record.inFlight;
+        use.limitPerRank = limitPerRank(record, engine);
         if (!record.isFollowed)
             continue;
         ++followed;
@@ -173,7 +187,7 @@
         use.estimatedLoad += record.estimatedLoad(now);
     }
     for (auto& [group, use] : groups) {
-        const double limit = limitPerRank(group, engine);
+        const double limit = use.limitPerRank;
         const bool isBusy = use.estimatedLoad > busyFraction * limit * use.reportingRanks;
         // Entries follow random runners, so the followed ones are divided among the groups like all.
         const double ranks = followed > 0 ? static_cast<double>(members->second.size()) * use.followedRanks / followed : 0;
@@ -304,11 +318,31 @@
     for (const runner_id& id : members->second) {
         const runner_record& record = m_runners.at(id);
         if (!record.listing.isDraining && !record.isReplaced)
-            slots += hasEngine ? limitPerRank(record.group, *engineOf(pool)) : record.listing.slots;
+            slots += hasEngine ? limitPerRank(record, *engineOf(pool)) : record.listing.slots;
     }
     return slots / seconds;
 }
 
+double runner_directory::maxFreedSlotsPerSecond(const pool_id& pool) const
+{
+    const engine_profile* engine = engineOf(pool);
+    const auto members = m_byPool.find(pool);
+    if (!engine || members == m_byPool.end())
+        return 0;
+    const auto serviceMs = m_serviceMs.find(pool);
+    const double seconds = (serviceMs == m_serviceMs.end() ? defaultServiceMs : serviceMs->second) / 1000;
+    const auto stepMs = [&](double requests) { return engine->stepMs + engine->stepMsPerRequest * requests; };
+    double rate = 0;
+    for (const runner_id& id : members->second) {
+        const runner_record& record = m_runners.at(id);
+        if (record.listing.isDraining || record.isReplaced)
+            continue;
+        const double slowdown = stepMs(engine->slots) / std::max(stepMs(limitPerRank(record, *engine)), 1e-9);
+        rate += engine->slots / (seconds * slowdown);
+    }
+    return rate;
+}
+
 void runner_directory::onAttemptStarted(const runner_id& id)
 {
     if (runner_record* record = findRecord(id))
--- a/serving/runner_directory.h
+++ b/serving/runner_directory.h
@@ -59,6 +59,12 @@
     // may become available again within a moment.
     double freedSlotsPerSecond(const pool_id&) const;
 
+    // The same with all slots of the runners in use, which makes their passes longer.
+    double maxFreedSlotsPerSecond(const pool_id&) const;
+
+    // While set, the runners of the pool run requests in all their slots, whatever that does to the gaps of their streams.
+    void setClearingBacklog(const pool_id&, bool isClearing);
+
     void onAttemptStarted(const runner_id&);
 
     // End an attempt counted by onAttemptStarted(). `responseTime` is the time from sending the request to the end of the
@@ -99,10 +105,13 @@
         double ownInFlight = 0;
         // Requests that this entry may still send to the group.
         double remainingShare = 0;
+        double limitPerRank = 0;
     };
 
     std::uint32_t requestLimit(const runner_record&) const;
-    double limitPerRank(const group_id&, const engine_profile&) const;
+    // The limit that follows from the passes of the group, and the one in use.
+    double objectiveLimit(const group_id&, const engine_profile&) const;
+    double limitPerRank(const runner_record&, const engine_profile&) const;
     std::unordered_map<group_id, group_use> groupUse(const pool_id&, const engine_profile&, time_point now) const;
     bool isSampled(std::size_t candidates, std::size_t poolSize);
     // Whether any followed runner of the pool is usable.
@@ -129,6 +138,7 @@
     // Also contains the pools without an engine.
     std::unordered_map<pool_id, std::optional<engine_profile>> m_engines;
     std::unordered_map<group_id, group_limit> m_groups;
+    std::unordered_set<pool_id> m_clearingBacklog;
     // Moving averages by pool.
     std::unordered_map<pool_id, double> m_timeToFirstByteMs;
     std::unordered_map<pool_id, double> m_serviceMs;
--- a/tests/fleet/load_patterns_test.cpp
+++ b/tests/fleet/load_patterns_test.cpp
@@ -1,4 +1,5 @@
 #include "serving/admission_queue.h"
+#include "serving/backlog.h"
 #include "serving/retry_delay.h"
 #include "serving/runner_directory.h"
 
@@ -67,6 +68,21 @@
     EXPECT_LE(queue.expectedWait(200, at(milliseconds(2990))), milliseconds(100));
 }
 
+// Guards against a limit that keeps late callers waiting although the runners could serve all of them within seconds, as after
+// a loss of all machines.
+TEST_F(admission_order, backlogAfterALoss_demandBelowCapacity_isClearedInAllSlots)
+{
+    EXPECT_TRUE(isBacklogClearable(20, 18, 32));
+    EXPECT_FALSE(isBacklogClearable(2, 18, 32));
+}
+
+// Guards against making every stream late to clear a backlog that demand keeps up.
+TEST_F(admission_order, demandNearCapacity_backlog_limitStays)
+{
+    EXPECT_FALSE(isBacklogClearable(20, 21, 19));
+    EXPECT_FALSE(isBacklogClearable(20, 17, 20));
+}
+
 // Guards against a kind of request that is never served while others of higher priority take all slots.
 TEST_F(admission_order, higherPriorityTakesAllSlots_lowerPriority_getsSome)
 {
