Keep whole maps from filling a coordinator's link for good

Now an order in flight is not sent again, at most four whole maps are in flight, and an agent is passed over only after two missed orders.

--- a/fleet/map_order_dispatcher.cpp
+++ b/fleet/map_order_dispatcher.cpp
@@ -10,9 +10,21 @@
 // Covers an agent's own timeout for its runner, the link and a turn of the processor.
 constexpr duration agentTimeout = std::chrono::milliseconds(200);
 
-// An agent that missed an order is probably down or cut off; its runner may still be reached.
+// An agent that missed this many orders in a row is probably down or cut off; its runner may still be reached. A single
+// order may be lost on the way.
+constexpr std::uint32_t maxMissedOrders = 2;
+
+// After this time the agent is tried again.
 constexpr duration passOverTime = std::chrono::seconds(2);
 
+// Whole maps in flight at once.
+constexpr std::ptrdiff_t maxWholeMaps = 4;
+
+bool isSameOrder(const map_order& a, const map_order& b)
+{
+    return a.rank == b.rank && a.action == b.action && a.epoch == b.epoch && a.version == b.version && a.step == b.step;
+}
+
 std::size_t expertCount(const expert_placement& placement)
 {
     std::size_t count = 0;
@@ -53,16 +65,46 @@
         return false;
     if (order.placement && order.placement->sets.empty())
         return false;
-    const auto until = m_passedOverUntil.find(order.rank);
-    return until == m_passedOverUntil.end() || now >= until->second;
+    return !isAgentSilent(order.rank, now) || (order.placement && !canSendWholeMap());
+}
+
+bool map_order_dispatcher::isAgentSilent(rank_id rank, time_point now) const
+{
+    const auto missed = m_missed.find(rank);
+    return missed != m_missed.end() && missed->second.count >= maxMissedOrders && now - missed->second.lastAt < passOverTime;
+}
+
+bool map_order_dispatcher::canSendWholeMap() const
+{
+    return std::count_if(m_direct.begin(), m_direct.end(), [](const map_order& order) { return order.placement != nullptr; }) < maxWholeMaps;
+}
+
+bool map_order_dispatcher::isInFlight(const map_order& order) const
+{
+    const bool isDelegated = std::any_of(m_pending.begin(), m_pending.end(), [&](const auto& entry) { return isSameOrder(entry.second.order, order); });
+    return isDelegated || std::any_of(m_direct.begin(), m_direct.end(), [&](const map_order& other) { return isSameOrder(other, order); });
+}
+
+void map_order_dispatcher::onDirectResult(const map_order& order, map_order_result result)
+{
+    std::erase_if(m_direct, [&](const map_order& other) { return isSameOrder(other, order); });
+    m_hooks.onResult(order, result);
 }
 
 void map_order_dispatcher::dispatch(const map_order& order, time_point now)
 {
+    if (isInFlight(order))
+        return;
     if (isDelegable(order, now))
         sendToAgent(order, true, now);
     else
-        m_hooks.sendDirectly(order);
+        sendDirectly(order);
+}
+
+void map_order_dispatcher::sendDirectly(const map_order& order)
+{
+    m_direct.push_back(order);
+    m_hooks.sendDirectly(order);
 }
 
 void map_order_dispatcher::setDelta(delegated_order_message& message, const map_order& order, bool isBaseKnown)
@@ -110,6 +152,7 @@
         return;
     const map_order order = found->second.order;
     m_pending.erase(found);
+    m_missed.erase(order.rank);
     if (message.result == delegated_result_message::outcome::BaseUnknown)
         sendToAgent(order, false, now);
     else
@@ -126,7 +169,9 @@
         return true;
     });
     for (const map_order& order : unanswered) {
-        m_passedOverUntil[order.rank] = now + passOverTime;
+        missed_orders& missed = m_missed[order.rank];
+        ++missed.count;
+        missed.lastAt = now;
         m_hooks.onResult(order, map_order_result::Unanswered);
     }
 }
--- a/fleet/map_order_dispatcher.h
+++ b/fleet/map_order_dispatcher.h
@@ -11,11 +11,14 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <vector>
 
 namespace sardinelb {
 
 // Delivers a coordinator's orders: through the agents of the ranks where that is quicker, and directly to the runner of a
-// rank whose agent does not answer. Pure state machine.
+// rank whose agent does not answer. A prepare order that goes directly carries the whole map. In a large group these orders
+// would fill the link and delay all others, so few of them are in flight at once, and no order is sent again while it is in
+// flight. Pure state machine.
 class map_order_dispatcher {
 public:
     struct hooks {
@@ -30,7 +33,7 @@
     map_order_dispatcher(group_id, rank_id local, hooks);
 
     void dispatch(const map_order&, time_point now);
-    void onDirectResult(const map_order& order, map_order_result result) { m_hooks.onResult(order, result); }
+    void onDirectResult(const map_order&, map_order_result);
     void onDelegatedResult(const delegated_result_message&, time_point now);
 
     // Ends the orders that no agent has answered in time. Call ten times a second or more.
@@ -42,7 +45,11 @@
         time_point sentAt;
     };
 
+    bool isInFlight(const map_order&) const;
     bool isDelegable(const map_order&, time_point now) const;
+    bool isAgentSilent(rank_id, time_point now) const;
+    bool canSendWholeMap() const;
+    void sendDirectly(const map_order&);
     void sendToAgent(const map_order&, bool isBaseKnown, time_point now);
     void setDelta(delegated_order_message&, const map_order&, bool isBaseKnown);
 
@@ -51,8 +58,14 @@
     hooks m_hooks;
     std::uint64_t m_lastId = 0;
     std::map<std::uint64_t, pending_order> m_pending;
-    // Until when the agent of a rank is passed over because it did not answer.
-    std::map<rank_id, time_point> m_passedOverUntil;
+    // Orders that runners have got directly and have not answered.
+    std::vector<map_order> m_direct;
+    // Orders in a row that the agent of a rank has not answered, and when it missed the last one.
+    struct missed_orders {
+        std::uint32_t count = 0;
+        time_point lastAt;
+    };
+    std::map<rank_id, missed_orders> m_missed;
     // The last differences computed, since all ranks get the same one.
     std::shared_ptr<const expert_placement> m_deltaTarget;
     placement_delta m_deltaFromBase;
