--- a/tests/fleet/map_switch_fault_test.cpp
+++ b/tests/fleet/map_switch_fault_test.cpp
@@ -1,4 +1,5 @@
 #include "expert_map/map_switch.h"
+#include "expert_map/placement_delta.h"
 #include "tests/fleet/fake_rank_group.h"
 
 #include <gtest/gtest.h>
@@ -16,7 +17,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::uint32_t groupSize = 4;
+constexpr std::uint32_t defaultGroupSize = 4;
 constexpr milliseconds passTime { 70 };
 constexpr milliseconds reportInterval { 100 };
 constexpr milliseconds orderDelay { 2 };
@@ -60,8 +61,9 @@
 // Simulates three coordinators of one group in virtual time. Each is in charge while it hears from no coordinator before it.
 class map_switch_simulation {
 public:
-    explicit map_switch_simulation(std::vector<fault> faults)
-        : m_group(groupSize)
+    explicit map_switch_simulation(std::vector<fault> faults, std::uint32_t groupSize = defaultGroupSize)
+        : m_groupSize(groupSize)
+        , m_group(groupSize)
         , m_faults(std::move(faults))
     {
         for (std::uint32_t i = 0; i < coordinatorCount; ++i)
@@ -152,7 +154,7 @@
     void advance(std::size_t number)
     {
         map_switch& logic = *m_coordinators[number].logic;
-        for (std::uint32_t i = 0; i < groupSize; ++i) {
+        for (std::uint32_t i = 0; i < m_groupSize; ++i) {
             rank_status status = m_group.status(rank_id(i), m_now);
             status.receivedAt = m_now;
             logic.onReport(status);
@@ -160,7 +162,7 @@
         const bool isInCharge = isFirstReachable(number);
         logic.advance(m_now, isInCharge);
         if (isInCharge && logic.currentPlacement(m_now))
-            logic.begin({ { { { 0 }, { 1 }, { 2 }, { 3 } } } }, milliseconds(300), m_now);
+            logic.begin(roundRobinPlacement(1, m_groupSize, m_groupSize), milliseconds(300), m_now);
         sendOrders(number);
     }
 
@@ -220,6 +222,7 @@
         return {};
     }
 
+    std::uint32_t m_groupSize;
     fake_rank_group m_group;
     std::vector<fault> m_faults;
     std::vector<coordinator> m_coordinators;
@@ -250,9 +253,9 @@
     return text;
 }
 
-void expectRecovery(const std::vector<fault>& faults)
+void expectRecovery(const std::vector<fault>& faults, std::uint32_t groupSize = defaultGroupSize)
 {
-    map_switch_simulation simulation(faults);
+    map_switch_simulation simulation(faults, groupSize);
     simulation.run(milliseconds(20000));
     EXPECT_FALSE(simulation.hasMixedMaps) << describe(faults);
     EXPECT_LE(simulation.longestPassGap, maxRecoveryTime) << describe(faults);
@@ -283,6 +286,18 @@
     }
 }
 
+// The same for the groups of large fleets, at some of the orders of the first switch: each of the prepare and arm orders to the
+// ranks is handled alike, and the hold and the release are among them.
+TEST_F(map_switch_fault, largeGroups_faultsAtSomeOrders_ranksAgree)
+{
+    for (const std::uint32_t size : { 72U, 96U }) {
+        for (const std::size_t order : { std::size_t { 0 }, std::size_t { size / 2 }, std::size_t { size }, std::size_t { size + 1 }, std::size_t { 2 * size + 1 } }) {
+            for (const fault& one : allFaultsAt(order))
+                expectRecovery({ one }, size);
+        }
+    }
+}
+
 // Guards against pairs of faults that are each handled alone but not together, such as a late order during a takeover.
 TEST_F(map_switch_fault, switchWithTwoFaults_everyPairOfFaults_ranksAgree)
 {
