Guard the coordinator and its orders against foreign answers and corrupted messages

Orders are now numbered from the microseconds since the machine started. - A corrupted delegated order could ask an agent for a placement of 65,535 sets of 65,535 experts. - A demand report of another size, or a rank with experts that nobody counts, made the planner read beyond its vectors.

--- a/fleet/agent_process.cpp
+++ b/fleet/agent_process.cpp
@@ -525,7 +525,9 @@
     delivery.sendDirectly = [this](const map_order& order) { sendOrderToRunner(order); };
     delivery.sendToAgent = [this](const delegated_order_message& message) { sendToAgent(addressOf(message.order.rank), message); };
     delivery.onResult = [this](const map_order& order, map_order_result result) { coordinator->onOrderResult(order, result, steadyNow()); };
-    dispatcher = std::make_unique<map_order_dispatcher>(localReport->group, local, std::move(delivery));
+    // Microseconds since the machine started, so that they exceed the numbers of an earlier process, too.
+    const auto firstId = static_cast<std::uint64_t>(steadyNow().time_since_epoch().count());
+    dispatcher = std::make_unique<map_order_dispatcher>(localReport->group, local, firstId, std::move(delivery));
     const auto sendOrder = [this](const map_order& order) {
         metrics.count("map_order");
         dispatcher->dispatch(order, steadyNow());
--- a/fleet/group_coordinator.cpp
+++ b/fleet/group_coordinator.cpp
@@ -56,6 +56,18 @@
     return "";
 }
 
+// Whether the placement has only experts for which demand is counted. Both come from other processes.
+bool hasExpertsBelow(const expert_placement& placement, std::size_t experts)
+{
+    for (const auto& byRank : placement.sets) {
+        for (const auto& held : byRank) {
+            if (std::any_of(held.begin(), held.end(), [&](expert_number expert) { return expert >= experts; }))
+                return false;
+        }
+    }
+    return true;
+}
+
 const char* nameOf(map_order::kind kind)
 {
     switch (kind) {
@@ -100,9 +112,13 @@
     const auto sets = static_cast<std::uint32_t>(first.expertsBySet.size());
     if (sets == 0 || message.epoch != first.epoch || message.choices.values.empty())
         return;
+    if (message.choices.values.size() % sets != 0) {
+        m_log.write("demand_unreadable", { { "group", m_group.value() }, { "counts", static_cast<std::int64_t>(message.choices.values.size()) } });
+        return;
+    }
+    if (!m_demand || m_expertCount != message.choices.values.size())
+        m_demand.emplace(sets, static_cast<std::uint32_t>(message.choices.values.size() / sets));
     m_expertCount = message.choices.values.size();
-    if (!m_demand)
-        m_demand.emplace(sets, static_cast<std::uint32_t>(m_expertCount / sets));
     m_demand->report(message.choices, now);
 }
 
@@ -148,7 +164,7 @@
         return;
     const std::vector<std::vector<double>> popularity = m_demand->popularity();
     const double experts = static_cast<double>(popularity.size() * popularity.front().size());
-    if (m_demand->recentChoices() < minChoicesPerExpert * experts)
+    if (m_demand->recentChoices() < minChoicesPerExpert * experts || !hasExpertsBelow(*current, popularity.front().size()))
         return;
     std::vector<double> speeds;
     for (const auto& [rank, status] : m_switch.ranks())
--- a/fleet/map_order_dispatcher.cpp
+++ b/fleet/map_order_dispatcher.cpp
@@ -51,10 +51,11 @@
 
 }
 
-map_order_dispatcher::map_order_dispatcher(group_id group, rank_id local, hooks callbacks)
+map_order_dispatcher::map_order_dispatcher(group_id group, rank_id local, std::uint64_t firstId, hooks callbacks)
     : m_group(std::move(group))
     , m_local(local)
     , m_hooks(std::move(callbacks))
+    , m_nextId(firstId)
 {
 }
 
@@ -136,7 +137,7 @@
 void map_order_dispatcher::sendToAgent(const map_order& order, bool isBaseKnown, time_point now)
 {
     delegated_order_message message;
-    message.id = ++m_lastId;
+    message.id = m_nextId++;
     message.group = m_group;
     message.order = order;
     if (order.placement)
--- a/fleet/map_order_dispatcher.h
+++ b/fleet/map_order_dispatcher.h
@@ -29,8 +29,10 @@
         std::function<void(const map_order&, map_order_result)> onResult;
     };
 
-    // `local` is the rank beside this coordinator, whose runner gets its orders directly.
-    map_order_dispatcher(group_id, rank_id local, hooks);
+    // `local` is the rank beside this coordinator, whose runner gets its orders directly. Orders are numbered from `firstId` on.
+    // It must exceed the numbers that an earlier dispatcher at this address used: a late answer to one of its orders would be
+    // taken for the answer to an order of this one, and a pass released before all ranks are armed.
+    map_order_dispatcher(group_id, rank_id local, std::uint64_t firstId, hooks);
 
     void dispatch(const map_order&, time_point now);
     void onDirectResult(const map_order&, map_order_result);
@@ -56,7 +58,7 @@
     group_id m_group;
     rank_id m_local;
     hooks m_hooks;
-    std::uint64_t m_lastId = 0;
+    std::uint64_t m_nextId;
     std::map<std::uint64_t, pending_order> m_pending;
     // Orders that runners have got directly and have not answered.
     std::vector<map_order> m_direct;
--- a/fleet/map_order_executor.cpp
+++ b/fleet/map_order_executor.cpp
@@ -1,7 +1,22 @@
 #include "fleet/map_order_executor.h"
 
+#include <algorithm>
+
 namespace sardinelb {
 
+namespace {
+
+// Bound on the experts of all sets and on the ranks of all sets, far above any group, so that a corrupted message cannot use up
+// the memory of the process.
+constexpr std::uint64_t maxPlacementSize = 1 << 20;
+
+bool hasAcceptableSize(const delegated_order_message& message)
+{
+    return static_cast<std::uint64_t>(message.sets) * std::max(message.experts, message.ranks) <= maxPlacementSize;
+}
+
+}
+
 std::optional<map_order> map_order_executor::complete(const delegated_order_message& message)
 {
     map_order order = message.order;
@@ -11,9 +26,9 @@
         m_placements.clear();
     m_epoch = order.epoch;
     std::optional<expert_placement> placement;
-    if (!message.base) {
+    if (!message.base && hasAcceptableSize(message)) {
         placement = applyDelta(roundRobinPlacement(message.sets, message.experts, message.ranks), message.delta);
-    } else {
+    } else if (message.base) {
         const auto known = m_placements.find(*message.base);
         if (known != m_placements.end())
             placement = applyDelta(*known->second, message.delta);
--- a/tests/fleet/group_messages_test.cpp
+++ b/tests/fleet/group_messages_test.cpp
@@ -162,7 +162,7 @@
 class delegated_orders : public testing::Test {
 protected:
     delegated_orders()
-        : dispatcher(group_id("g"), rank_id(0), hooks())
+        : dispatcher(group_id("g"), rank_id(0), 1, hooks())
     {
     }
 
@@ -277,6 +277,29 @@
     EXPECT_LE(direct.size(), 5U);
 }
 
+// Guards against a pass that is released before all ranks are armed: a new coordinator at the address of an earlier one, whose
+// orders had the same numbers, took a late answer to one of those for its own.
+TEST_F(delegated_orders, coordinatorRestarted_lateAnswerToTheEarlierOne_ignored)
+{
+    const map_order order { map_order::kind::Arm, rank_id(3), 1, map_version(5), step_number(9), {} };
+    dispatcher.dispatch(order, at(0));
+    map_order_dispatcher restarted(group_id("g"), rank_id(0), 1000, hooks());
+    restarted.dispatch({ map_order::kind::Arm, rank_id(3), 1, map_version(8), step_number(12), {} }, at(10));
+    restarted.onDelegatedResult({ sent[0].id, delegated_result_message::outcome::Accepted }, at(20));
+    EXPECT_TRUE(results.empty());
+}
+
+// Guards against a corrupted message that uses up the memory of an agent.
+TEST_F(delegated_orders, messageNamesAHugeMap_completed_nothing)
+{
+    delegated_order_message message;
+    message.order = { map_order::kind::Prepare, rank_id(3), 1, map_version(5), {}, {} };
+    message.sets = 65535;
+    message.experts = 65535;
+    message.ranks = 65535;
+    EXPECT_FALSE(executor.complete(message));
+}
+
 TEST_F(delegated_orders, orderInFlight_repeated_sentOnce)
 {
     const map_order order { map_order::kind::Arm, rank_id(3), 1, map_version(5), step_number(9), {} };
