--- a/serving/admission_queue.h
+++ b/serving/admission_queue.h
@@ -27,9 +27,10 @@
     void remove(std::uint64_t ticket);
 
     // Removes and returns the request to serve next. Now and then this is the oldest of the lowest priority that can still meet
-    // its objective, so that no kind of request starves. Otherwise the highest priority decides. Within a priority, requests that can still meet their objective and
-    // are no caller retries come first, oldest first. Caller retries follow, then late requests, both newest first, since
-    // an old request has the least time left to complete.
+    // its objective, so that no kind of request starves. Otherwise the highest priority decides. Within a priority, requests
+    // that can still meet their objective and are no caller retries come first, by the priority of their route and then the
+    // oldest first. Caller retries follow, then late requests, both newest first, since an old request has the least time left
+    // to complete.
     std::optional<waiting_request> takeNext(time_point now);
 
     // Removes and returns the requests whose latest start has passed.
