Compute the differences of a map once and skip idle backlog checks

Found when reading the whole change again; behaviour stays as it is. - map_order_dispatcher built the round-robin placement and counted the experts anew for each of the 95 orders of a plan; both are now computed once for a map, and one check for a usable base stands in place of two. - entry_context computed the capacity of all runners with each load report, hundreds of times a second, also with no late request. - The time of a request was derived in the same lines twice in runner_directory; the order of priorities was compared twice in admission_queue; group_coordinator::groupSize had no caller.

--- a/fleet/entry_context.cpp
+++ b/fleet/entry_context.cpp
@@ -135,9 +135,10 @@
 
 void entry_context::updateBacklog(const pool_id& pool, const admission_queue& queue, time_point now)
 {
-    const double arrivals = queue.arrivalsPerSecond(now);
-    const double capacity = m_runners.maxFreedSlotsPerSecond(pool) * m_demand.share();
-    m_runners.setClearingBacklog(pool, isBacklogClearable(queue.lateCount(now), arrivals, capacity));
+    const std::size_t late = queue.lateCount(now);
+    // Load reports lead here hundreds of times a second, mostly without a late request.
+    const bool isClearable = late > 0 && isBacklogClearable(late, queue.arrivalsPerSecond(now), m_runners.maxFreedSlotsPerSecond(pool) * m_demand.share());
+    m_runners.setClearingBacklog(pool, isClearable);
 }
 
 void entry_context::dispatchWaiting()
--- a/fleet/group_coordinator.h
+++ b/fleet/group_coordinator.h
@@ -51,8 +51,6 @@
     // How the demand should reach this coordinator with at most `bytesPerSecond`.
     demand_route demandRoute(double bytesPerSecond) const;
 
-    std::uint32_t groupSize() const { return m_groupSize; }
-
     void onOrderResult(const map_order&, map_order_result, time_point now);
 
     // Advances the switch in progress and plans the next one. Must be called ten times a second. A standby coordinator, which
--- a/fleet/map_order_dispatcher.cpp
+++ b/fleet/map_order_dispatcher.cpp
@@ -108,27 +108,29 @@
     m_hooks.sendDirectly(order);
 }
 
+void map_order_dispatcher::computeDeltas(const map_order& order)
+{
+    const expert_placement& target = *order.placement;
+    const bool hasBase = order.basePlacement && order.basePlacement->sets.size() == target.sets.size();
+    m_deltaTarget = order.placement;
+    m_targetExperts = expertCount(target);
+    m_deltaFromRoundRobin = differenceOf(roundRobinPlacement(target.sets.size(), m_targetExperts, target.sets.front().size()), target);
+    m_deltaFromBase = hasBase ? std::optional(differenceOf(*order.basePlacement, target)) : std::nullopt;
+}
+
 void map_order_dispatcher::setDelta(delegated_order_message& message, const map_order& order, bool isBaseKnown)
 {
+    if (m_deltaTarget != order.placement)
+        computeDeltas(order);
     const expert_placement& target = *order.placement;
-    const std::size_t ranks = target.sets.front().size();
-    const std::size_t experts = expertCount(target);
-    const expert_placement roundRobin = roundRobinPlacement(target.sets.size(), experts, ranks);
-    if (m_deltaTarget != order.placement) {
-        m_deltaTarget = order.placement;
-        const bool hasBase = order.basePlacement && order.basePlacement->sets.size() == target.sets.size();
-        m_deltaFromBase = hasBase ? differenceOf(*order.basePlacement, target) : placement_delta {};
-        m_deltaFromRoundRobin = differenceOf(roundRobin, target);
-    }
     message.sets = static_cast<std::uint16_t>(target.sets.size());
-    message.experts = static_cast<std::uint16_t>(experts);
-    message.ranks = static_cast<std::uint16_t>(ranks);
-    const bool isBaseUsable = isBaseKnown && order.basePlacement && order.basePlacement->sets.size() == target.sets.size();
+    message.experts = static_cast<std::uint16_t>(m_targetExperts);
+    message.ranks = static_cast<std::uint16_t>(target.sets.front().size());
     // A map of the early life of a group often differs less from the round-robin placement that it started with.
-    const bool isBaseShorter = m_deltaFromBase.changes.size() < m_deltaFromRoundRobin.changes.size();
-    if (isBaseUsable && isBaseShorter) {
+    const bool isBaseShorter = m_deltaFromBase && m_deltaFromBase->changes.size() < m_deltaFromRoundRobin.changes.size();
+    if (isBaseKnown && isBaseShorter) {
         message.base = order.base;
-        message.delta = m_deltaFromBase;
+        message.delta = *m_deltaFromBase;
     } else {
         message.delta = m_deltaFromRoundRobin;
     }
--- a/fleet/map_order_dispatcher.h
+++ b/fleet/map_order_dispatcher.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace sardinelb {
@@ -53,6 +54,7 @@
     bool canSendWholeMap() const;
     void sendDirectly(const map_order&);
     void sendToAgent(const map_order&, bool isBaseKnown, time_point now);
+    void computeDeltas(const map_order&);
     void setDelta(delegated_order_message&, const map_order&, bool isBaseKnown);
 
     group_id m_group;
@@ -70,8 +72,10 @@
     std::map<rank_id, missed_orders> m_missed;
     // The last differences computed, since all ranks get the same one.
     std::shared_ptr<const expert_placement> m_deltaTarget;
-    placement_delta m_deltaFromBase;
+    std::size_t m_targetExperts = 0;
     placement_delta m_deltaFromRoundRobin;
+    // Nothing if the order names no map in use.
+    std::optional<placement_delta> m_deltaFromBase;
 };
 
 }
--- a/serving/admission_queue.cpp
+++ b/serving/admission_queue.cpp
@@ -109,9 +109,10 @@
     for (auto request = m_waiting.begin(); request != m_waiting.end(); ++request) {
         if (!isOnTime(*request, now))
             continue;
-        const bool isLower = next != m_waiting.end() && std::tie(request->priority, request->routePriority) > std::tie(next->priority, next->routePriority);
-        const bool isEqual = next != m_waiting.end() && std::tie(request->priority, request->routePriority) == std::tie(next->priority, next->routePriority);
-        if (next == m_waiting.end() || isLower || (isEqual && request->arrivedAt < next->arrivedAt))
+        // The numbers of lower priorities are higher.
+        const bool isBefore = next == m_waiting.end()
+            || std::tie(next->priority, next->routePriority, request->arrivedAt) < std::tie(request->priority, request->routePriority, next->arrivedAt);
+        if (isBefore)
             next = request;
     }
     return next;
--- a/serving/runner_directory.cpp
+++ b/serving/runner_directory.cpp
@@ -306,14 +306,20 @@
     return static_cast<std::uint32_t>(total);
 }
 
+double runner_directory::serviceSeconds(const pool_id& pool) const
+{
+    constexpr double msPerSecond = 1000;
+    const auto serviceMs = m_serviceMs.find(pool);
+    return (serviceMs == m_serviceMs.end() ? defaultServiceMs : serviceMs->second) / msPerSecond;
+}
+
 double runner_directory::freedSlotsPerSecond(const pool_id& pool) const
 {
     const auto members = m_byPool.find(pool);
     if (members == m_byPool.end() || !m_engines.contains(pool))
         return 0;
     const bool hasEngine = engineOf(pool) != nullptr;
-    const auto serviceMs = m_serviceMs.find(pool);
-    const double seconds = (serviceMs == m_serviceMs.end() ? defaultServiceMs : serviceMs->second) / 1000;
+    const double seconds = serviceSeconds(pool);
     double slots = 0;
     for (const runner_id& id : members->second) {
         const runner_record& record = m_runners.at(id);
@@ -329,8 +335,7 @@
     const auto members = m_byPool.find(pool);
     if (!engine || members == m_byPool.end())
         return 0;
-    const auto serviceMs = m_serviceMs.find(pool);
-    const double seconds = (serviceMs == m_serviceMs.end() ? defaultServiceMs : serviceMs->second) / 1000;
+    const double seconds = serviceSeconds(pool);
     const auto stepMs = [&](double requests) { return engine->stepMs + engine->stepMsPerRequest * requests; };
     double rate = 0;
     for (const runner_id& id : members->second) {
--- a/serving/runner_directory.h
+++ b/serving/runner_directory.h
@@ -113,6 +113,8 @@
     double objectiveLimit(const group_id&, const engine_profile&) const;
     double limitPerRank(const runner_record&, const engine_profile&) const;
     std::unordered_map<group_id, group_use> groupUse(const pool_id&, const engine_profile&, time_point now) const;
+    // Moving average of the time that a request of the pool takes.
+    double serviceSeconds(const pool_id&) const;
     bool isSampled(std::size_t candidates, std::size_t poolSize);
     // Whether any followed runner of the pool is usable.
     bool isAnyFollowedUsable(const std::vector<runner_id>& members, time_point now) const;
