--- /dev/null
+++ b/fleet/crash_detector.cpp
@@ -0,0 +1,116 @@
+#include "fleet/crash_detector.h"
+
+#include "fleet/steady_time.h"
+#include "relay/endpoint.h"
+#include "serving/listed_runner.h"
+#include "serving/stable_hash.h"
+
+#include <chrono>
+#include <memory>
+
+#include <boost/asio/error.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace sardinelb {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+// Well above the round trip between availability zones.
+constexpr std::chrono::milliseconds probeTimeout { 250 };
+
+// All connections to a process that ends break within this time. Afterwards a new probe is due.
+constexpr duration suspicionLifetime = std::chrono::seconds(1);
+
+struct probe_connection {
+    explicit probe_connection(const asio::any_io_executor& executor)
+        : socket(executor)
+        , timer(executor)
+    {
+    }
+
+    asio::ip::tcp::socket socket;
+    asio::steady_timer timer;
+};
+
+crash_id crashOf(const listed_runner& runner)
+{
+    stable_hash hash;
+    hash.add(runner.id.value());
+    hash.add(std::to_string(runner.startedAtMs));
+    return crash_id(hash.value());
+}
+
+}
+
+crash_detector::crash_detector(asio::any_io_executor executor, receiver onCrash)
+    : m_executor(std::move(executor))
+    , m_onCrash(std::move(onCrash))
+{
+}
+
+void crash_detector::onAttemptBroken(const listed_runner& runner, const std::vector<prompt_part_id>& parts)
+{
+    if (parts.empty())
+        return;
+    removeExpired(steadyNow());
+    const crash_id id = crashOf(runner);
+    const runner_crash crash { id, runner.id, runner.pool, parts };
+    const auto [known, isNew] = m_suspicions.try_emplace(id);
+    if (known->second.hasEnded) {
+        m_onCrash(crash);
+        return;
+    }
+    known->second.pending.push_back(crash);
+    if (!isNew)
+        return;
+    known->second.startedAt = steadyNow();
+    probe(runner.address, id);
+}
+
+void crash_detector::probe(const std::string& address, crash_id id)
+{
+    const auto endpoint = tcpEndpoint(address);
+    if (!endpoint) {
+        asio::post(m_executor, [this, id] { onProbed(id, false); });
+        return;
+    }
+    const auto connection = std::make_shared<probe_connection>(m_executor);
+    connection->timer.expires_after(probeTimeout);
+    connection->timer.async_wait([connection](const error_code& error) {
+        error_code ignored; // The connection may be closed already.
+        if (!error)
+            connection->socket.close(ignored);
+    });
+    connection->socket.async_connect(*endpoint, [this, connection, id](const error_code& error) {
+        connection->timer.cancel();
+        onProbed(id, error == asio::error::connection_refused);
+    });
+}
+
+void crash_detector::onProbed(crash_id id, bool hasEnded)
+{
+    const auto known = m_suspicions.find(id);
+    if (known == m_suspicions.end())
+        return;
+    if (!hasEnded) {
+        m_suspicions.erase(known);
+        return;
+    }
+    known->second.hasEnded = true;
+    const std::vector<runner_crash> pending = std::move(known->second.pending);
+    known->second.pending.clear();
+    for (const runner_crash& crash : pending)
+        m_onCrash(crash);
+}
+
+void crash_detector::removeExpired(time_point now)
+{
+    std::erase_if(m_suspicions, [&](const auto& entry) { return now - entry.second.startedAt > suspicionLifetime; });
+}
+
+}
--- a/fleet/entry_context.cpp
+++ b/fleet/entry_context.cpp
@@ -1,9 +1,11 @@
 #include "fleet/entry_context.h"
 
 #include "fleet/event_log.h"
+#include "fleet/process_metrics.h"
 #include "fleet/request_relay.h"
 #include "fleet/steady_time.h"
 #include "serving/backlog.h"
+#include "serving/prompt_parts.h"
 #include "serving/retry_delay.h"
 #include "serving/route_index.h"
 #include "serving/serving_configuration.h"
@@ -24,6 +26,7 @@
     , m_metrics(metrics)
     , m_random(std::random_device {}())
     , m_runners([this] { return std::uniform_real_distribution<double>()(m_random); })
+    , m_crashDetector(m_executor, [this](const runner_crash& crash) { onRunnerCrash(crash); })
     , m_startedAt(steadyNow())
     , m_dispatchTimer(m_executor)
 {
@@ -133,6 +136,12 @@
     }
 }
 
+void entry_context::onRunnerCrash(const runner_crash& crash)
+{
+    m_log.write("runner_crashed", { { "runner", crash.runner.value() }, { "pool", crash.pool.value() }, { "prompt_parts", describe(crash.promptParts) } });
+    m_metrics.count("runner_crashed");
+}
+
 void entry_context::updateBacklog(const pool_id& pool, const admission_queue& queue, time_point now)
 {
     const std::size_t late = queue.lateCount(now);
--- a/fleet/entry_context.h
+++ b/fleet/entry_context.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleet/crash_detector.h"
 #include "platform/settings.h"
 #include "serving/admission_queue.h"
 #include "serving/demand_share.h"
@@ -72,10 +73,13 @@
 
     demand_share& demand() { return m_demand; }
 
+    crash_detector& crashDetector() { return m_crashDetector; }
+
     std::size_t activeRequests = 0;
 
 private:
     void scheduleDispatch();
+    void onRunnerCrash(const runner_crash&);
     // Decides whether the runners of the pool should work off late requests in all their slots.
     void updateBacklog(const pool_id&, const admission_queue&, time_point now);
 
@@ -87,6 +91,7 @@
     std::shared_ptr<const route_index> m_routes;
     runner_directory m_runners;
     demand_share m_demand;
+    crash_detector m_crashDetector;
     std::map<pool_id, admission_queue> m_queues;
     std::unordered_map<std::uint64_t, std::weak_ptr<request_relay>> m_waiting;
     std::unordered_map<pool_id, retry_budget_share> m_retryBudgets;
--- a/fleet/request_relay.cpp
+++ b/fleet/request_relay.cpp
@@ -8,6 +8,7 @@
 #include "relay/http_response_head.h"
 #include "relay/http_server_connection.h"
 #include "serving/failover_action.h"
+#include "serving/prompt_parts.h"
 #include "serving/route_index.h"
 #include "serving/serving_configuration.h"
 
@@ -217,7 +218,7 @@
     m_hasReceivedEvent = false;
     m_context.runners().onAttemptStarted(runner);
     m_context.queueOf(m_pool).onDispatch(now);
-    m_context.log().write("attempt", { { "request", m_request.attemptId }, { "runner", runner.value() }, { "load", static_cast<std::int64_t>(record->estimatedLoad(now)) }, { "own", static_cast<std::int64_t>(record->inFlight) }, { "waited_ms", milliseconds(now - m_arrivedAt) }, { "number", static_cast<std::int64_t>(m_triedRunners.size()) }, { "configuration", static_cast<std::int64_t>(m_routes->configuration().version.value()) } });
+    m_context.log().write("attempt", { { "request", m_request.attemptId }, { "runner", runner.value() }, { "load", static_cast<std::int64_t>(record->estimatedLoad(now)) }, { "own", static_cast<std::int64_t>(record->inFlight) }, { "waited_ms", milliseconds(now - m_arrivedAt) }, { "number", static_cast<std::int64_t>(m_triedRunners.size()) }, { "prompt_parts", describe(m_request.promptParts) }, { "configuration", static_cast<std::int64_t>(m_routes->configuration().version.value()) } });
     platform::attempt_headers fields { runner, m_holder ? m_holder->team : team_id {}, timeLeft(now), m_events.lastEventId() };
     if (fields.resumeAfterEvent.empty())
         fields.resumeAfterEvent = m_request.resumeAfterEvent;
@@ -373,10 +374,18 @@
 void request_relay::onAttemptFailed(attempt_failure failure, const char* why)
 {
     cancelExchange();
+    reportPossibleCrash(failure);
     m_context.runners().onAttemptFailed(m_runner, failure, steadyNow());
     retryOrFail(failure, why);
 }
 
+void request_relay::reportPossibleCrash(attempt_failure failure)
+{
+    const runner_record* record = m_context.runners().find(m_runner);
+    if (failure == attempt_failure::OutcomeUnknown && !m_hasReceivedEvent && record)
+        m_context.crashDetector().onAttemptBroken(record->listing, m_request.promptParts);
+}
+
 void request_relay::retryOrFail(attempt_failure failure, const char* why)
 {
     const time_point now = steadyNow();
@@ -398,7 +407,7 @@
     failover.retryAllowed = retryBudget.canRetry(m_context.entriesAlive(), now);
     failover.timeLeft = timeLeft(now);
     const failover_action action = chooseFailoverAction(failover);
-    m_context.log().write("attempt_failed", { { "request", m_request.attemptId }, { "runner", m_runner.value() }, { "failure", nameOf(failure) }, { "why", why }, { "after_ms", milliseconds(now - m_sentAt) }, { "sent", static_cast<std::int64_t>(m_attemptsSent) }, { "retry_allowed", failover.retryAllowed }, { "again", action == failover_action::TryAnother } });
+    m_context.log().write("attempt_failed", { { "request", m_request.attemptId }, { "runner", m_runner.value() }, { "failure", nameOf(failure) }, { "why", why }, { "after_ms", milliseconds(now - m_sentAt) }, { "sent", static_cast<std::int64_t>(m_attemptsSent) }, { "answer_begun", m_hasReceivedEvent }, { "retry_allowed", failover.retryAllowed }, { "again", action == failover_action::TryAnother } });
     switch (action) {
     case failover_action::TryAnother:
         if (failure != attempt_failure::NotConnected)
--- a/fleet/request_relay.h
+++ b/fleet/request_relay.h
@@ -56,6 +56,8 @@
     void onExchangeEnd(runner_exchange::result);
     void onResponseComplete();
     void onAttemptFailed(attempt_failure, const char* why);
+    // Reports an attempt whose connection broke before its answer began, since its runner may have ended.
+    void reportPossibleCrash(attempt_failure);
     void retryOrFail(attempt_failure, const char* why);
     void startSilenceTimer();
     void scheduleBacklogCheck();
--- a/serving/proxied_request.h
+++ b/serving/proxied_request.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "state/ids.h"
 #include "state/time.h"
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace sardinelb {
 
@@ -23,6 +25,8 @@
     std::string forwardedHeaders;
     // Id of the event after which the caller resumes a stream; empty otherwise.
     std::string resumeAfterEvent;
+    // The parts of the prompt that other requests may share: all but the last, which is the request's own. Empty without a prompt.
+    std::vector<prompt_part_id> promptParts;
     std::string body;
 };
 
--- /dev/null
+++ b/serving/runner_crash.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "state/ids.h"
+
+#include <vector>
+
+namespace sardinelb {
+
+// A runner process ended while a request waited for its answer to begin.
+struct runner_crash {
+    // The same for all requests on that process, and at all entries.
+    crash_id crash;
+    runner_id runner;
+    pool_id pool;
+    // Parts of the request's prompt.
+    std::vector<prompt_part_id> promptParts;
+};
+
+}
--- a/tests/fleet/platform_translation_test.cpp
+++ b/tests/fleet/platform_translation_test.cpp
@@ -80,6 +80,21 @@
         EXPECT_EQ(bytes.find(absent), std::string::npos) << absent;
 }
 
+// Guards against taking the last part, which no other request shares, or a malformed list for shared parts.
+TEST_F(request_fields, promptParts_read_allButTheLast)
+{
+    const auto partsOf = [](const std::string& list) {
+        http_request_message message;
+        message.fields = { { "prefix-hash", list } };
+        return platform::readRequest(std::move(message)).promptParts;
+    };
+    EXPECT_EQ(partsOf("5c1e07a2:800, 91bd3f06:410,e4402b7d:250"), (std::vector { prompt_part_id(0x5c1e07a2), prompt_part_id(0x91bd3f06) }));
+    EXPECT_TRUE(partsOf("5c1e07a2:800").empty());
+    EXPECT_TRUE(partsOf(",:3,").empty());
+    EXPECT_EQ(partsOf("not hexadecimal:1,x:2"), partsOf("not hexadecimal:7,y:2"));
+    EXPECT_EQ(partsOf("ffffffffffffffffffff:1,x:2").size(), 1U);
+}
+
 TEST_F(request_fields, runnerResponse_read_statementsAndFramingSeparated)
 {
     const runner_response_head head = platform::readResponseHead({ 503, { { "Attempt-Id", "a1" }, { "not-executed", "1" }, { "Content-Length", "3" }, { "Server-Seal", "s" }, { "X-A", "b" } } });
