--- a/fleet/crash_detector.cpp
+++ b/fleet/crash_detector.cpp
@@ -47,29 +47,24 @@
 
 }
 
-crash_detector::crash_detector(asio::any_io_executor executor, receiver onCrash)
+crash_detector::crash_detector(asio::any_io_executor executor, hooks callbacks)
     : m_executor(std::move(executor))
-    , m_onCrash(std::move(onCrash))
+    , m_hooks(std::move(callbacks))
 {
 }
 
-void crash_detector::onAttemptBroken(const listed_runner& runner, const std::vector<prompt_part_id>& parts)
+void crash_detector::onAttemptBroken(const listed_runner& runner, const std::vector<prompt_part_id>& parts, receiver onResult)
 {
-    if (parts.empty())
-        return;
     removeExpired(steadyNow());
     const crash_id id = crashOf(runner);
-    const runner_crash crash { id, runner.id, runner.pool, parts };
     const auto [known, isNew] = m_suspicions.try_emplace(id);
-    if (known->second.hasEnded) {
-        m_onCrash(crash);
-        return;
+    known->second.pending.push_back({ { id, runner.id, runner.pool, parts }, std::move(onResult) });
+    if (isNew) {
+        known->second.startedAt = steadyNow();
+        probe(runner.address, id);
+    } else if (known->second.hasEnded) {
+        asio::post(m_executor, [this, id] { onProbed(id, true); });
     }
-    known->second.pending.push_back(crash);
-    if (!isNew)
-        return;
-    known->second.startedAt = steadyNow();
-    probe(runner.address, id);
 }
 
 void crash_detector::probe(const std::string& address, crash_id id)
@@ -97,20 +92,24 @@
     const auto known = m_suspicions.find(id);
     if (known == m_suspicions.end())
         return;
-    if (!hasEnded) {
+    const std::vector<broken_attempt> pending = std::move(known->second.pending);
+    known->second.pending.clear();
+    if (hasEnded)
+        known->second.hasEnded = true;
+    else
         m_suspicions.erase(known);
-        return;
+    // All evidence is recorded before the first request goes on.
+    if (hasEnded) {
+        for (const broken_attempt& attempt : pending)
+            m_hooks.onCrash(attempt.crash);
     }
-    known->second.hasEnded = true;
-    const std::vector<runner_crash> pending = std::move(known->second.pending);
-    known->second.pending.clear();
-    for (const runner_crash& crash : pending)
-        m_onCrash(crash);
+    for (const broken_attempt& attempt : pending)
+        attempt.onResult(hasEnded);
 }
 
 void crash_detector::removeExpired(time_point now)
 {
-    std::erase_if(m_suspicions, [&](const auto& entry) { return now - entry.second.startedAt > suspicionLifetime; });
+    std::erase_if(m_suspicions, [&](const auto& entry) { return entry.second.pending.empty() && now - entry.second.startedAt > suspicionLifetime; });
 }
 
 }
--- a/fleet/crash_detector.h
+++ b/fleet/crash_detector.h
@@ -18,20 +18,30 @@
 // one, so a broken one shows nothing; a runner that has ended refuses new ones.
 class crash_detector {
 public:
-    // Called for each request whose answer had not begun when its runner ended.
-    using receiver = std::function<void(const runner_crash&)>;
+    struct hooks {
+        // Called for each request whose answer had not begun when its runner ended.
+        std::function<void(const runner_crash&)> onCrash;
+    };
+
+    // Called once the runner is known to have ended or not, after the hook.
+    using receiver = std::function<void(bool hasEnded)>;
 
-    crash_detector(boost::asio::any_io_executor, receiver);
+    crash_detector(boost::asio::any_io_executor, hooks);
 
     // The connection to a runner broke before the answer to a request with these prompt parts began. Opens a connection to the runner
     // unless that is under way.
-    void onAttemptBroken(const listed_runner&, const std::vector<prompt_part_id>&);
+    void onAttemptBroken(const listed_runner&, const std::vector<prompt_part_id>&, receiver);
 
 private:
+    struct broken_attempt {
+        runner_crash crash;
+        receiver onResult;
+    };
+
     struct suspicion {
         time_point startedAt;
         bool hasEnded = false;
-        std::vector<runner_crash> pending;
+        std::vector<broken_attempt> pending;
     };
 
     void probe(const std::string& address, crash_id);
@@ -39,7 +49,7 @@
     void removeExpired(time_point now);
 
     boost::asio::any_io_executor m_executor;
-    receiver m_onCrash;
+    hooks m_hooks;
     std::map<crash_id, suspicion> m_suspicions;
 };
 
--- a/fleet/entry_context.h
+++ b/fleet/entry_context.h
@@ -4,11 +4,13 @@
 #include "platform/settings.h"
 #include "serving/admission_queue.h"
 #include "serving/demand_share.h"
+#include "serving/prompt_quarantine.h"
 #include "serving/retry_budget_share.h"
 #include "serving/runner_directory.h"
 #include "state/ids.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -75,11 +77,28 @@
 
     crash_detector& crashDetector() { return m_crashDetector; }
 
+    // Prompt parts that crash runners.
+    const prompt_quarantine& promptQuarantine() const { return m_promptQuarantine; }
+    void onAnswer(const pool_id&, const std::vector<prompt_part_id>&);
+    void onAttemptSent(const pool_id&, const std::vector<prompt_part_id>&);
+    // Evidence of another entry.
+    void onPromptEvidence(const std::vector<prompt_part_evidence>&);
+
+    // Called when this entry has evidence that the others should get at once.
+    void setEvidenceHandler(std::function<void()> handler) { m_onEvidence = std::move(handler); }
+
+    // Requests with prompts register until they end, so that they are ended when a part of theirs is quarantined.
+    void addPromptRequest(request_relay*, std::weak_ptr<request_relay>);
+    void removePromptRequest(request_relay*);
+
     std::size_t activeRequests = 0;
 
 private:
     void scheduleDispatch();
     void onRunnerCrash(const runner_crash&);
+    // Logs new quarantines and ends the requests that they concern.
+    void applyQuarantines();
+    void scheduleEvidence();
     // Decides whether the runners of the pool should work off late requests in all their slots.
     void updateBacklog(const pool_id&, const admission_queue&, time_point now);
 
@@ -92,6 +111,10 @@
     runner_directory m_runners;
     demand_share m_demand;
     crash_detector m_crashDetector;
+    prompt_quarantine m_promptQuarantine;
+    std::function<void()> m_onEvidence;
+    bool m_isEvidenceScheduled = false;
+    std::unordered_map<request_relay*, std::weak_ptr<request_relay>> m_promptRequests;
     std::map<pool_id, admission_queue> m_queues;
     std::unordered_map<std::uint64_t, std::weak_ptr<request_relay>> m_waiting;
     std::unordered_map<pool_id, retry_budget_share> m_retryBudgets;
--- a/fleet/entry_peers.cpp
+++ b/fleet/entry_peers.cpp
@@ -58,6 +58,7 @@
     m_socket = std::make_shared<udp_socket>(m_context.get_executor(), [this](std::string_view bytes, const udp::endpoint& from) { onDatagram(bytes, from); });
     if (!m_socket->open(m_settings.ip, m_settings.firstPeerPort + entryDatagramPortOffset, problem))
         return false;
+    m_entry.setEvidenceHandler([this] { sendVersions(); });
     tick();
     return true;
 }
@@ -147,6 +148,7 @@
     entry_heartbeat_message heartbeat = createHeartbeat();
     heartbeat.arrivalsPerSecond = static_cast<float>(m_arrivalsPerSecond);
     heartbeat.groups = directCandidates();
+    heartbeat.promptParts = m_entry.promptQuarantine().evidence(steadyNow());
     const std::string bytes = encode(heartbeat);
     for (const auto& [ip, at] : m_entries) {
         if (const auto to = udpEndpoint(ip + ":0", m_settings.firstPeerPort + entryDatagramPortOffset))
@@ -266,6 +268,7 @@
         for (const auto& member : group.members)
             addCandidate(group.group, member.rank, member.address, now - member.age, false);
     }
+    m_entry.onPromptEvidence(heartbeat.promptParts);
     m_hooks.onPeerVersions(ip, { heartbeat.configuration, heartbeat.runnerList, heartbeat.runnerDigest, heartbeat.runnerListAge });
 }
 
--- a/fleet/fleet_message.cpp
+++ b/fleet/fleet_message.cpp
@@ -29,6 +29,19 @@
         return offsets;
     }
 
+    std::vector<flatbuffers::Offset<wire::prompt_part>> createPromptParts(const std::vector<prompt_part_evidence>& parts) const
+    {
+        std::vector<flatbuffers::Offset<wire::prompt_part>> offsets;
+        for (const prompt_part_evidence& part : parts) {
+            std::vector<flatbuffers::Offset<wire::runner_crash>> crashes;
+            for (const auto& crash : part.crashes)
+                crashes.push_back(wire::Createrunner_crash(builder, crash.id.value(), milliseconds(crash.age)));
+            offsets.push_back(wire::Createprompt_partDirect(builder, part.pool.value().c_str(), part.part.value(), part.position, &crashes, part.answerAge.has_value(),
+                milliseconds(part.answerAge.value_or(duration {})), milliseconds(part.quarantineLeft), part.quarantineCount));
+        }
+        return offsets;
+    }
+
     void operator()(const entry_heartbeat_message& message) const
     {
         const member_offsets members = createMembers(message.members);
@@ -37,11 +50,12 @@
             const member_offsets candidates = createMembers(group.members);
             groups.push_back(wire::Creategroup_candidatesDirect(builder, group.group.value().c_str(), &candidates));
         }
+        const auto promptParts = createPromptParts(message.promptParts);
         const auto body = wire::Createentry_beatDirect(builder, message.daemon.value().c_str(), message.configuration.value(),
             message.runnerList.value(), message.runnerDigest,
             milliseconds(message.runnerListAge), message.isStopping, message.group.value().c_str(), &members,
             message.expertsPerRank, message.newExpertsPerRank, static_cast<std::uint64_t>(message.expertCopyTime.count()), message.slots, &groups,
-            message.arrivalsPerSecond);
+            message.arrivalsPerSecond, &promptParts);
         finish(wire::datagram_body::entry_beat, body.Union());
     }
 
@@ -122,6 +136,23 @@
     return result;
 }
 
+prompt_part_evidence read(const wire::prompt_part& body)
+{
+    prompt_part_evidence evidence;
+    evidence.pool = pool_id(text(body.pool()));
+    evidence.part = prompt_part_id(body.part());
+    evidence.position = body.position();
+    if (body.crashes()) {
+        for (const auto* crash : *body.crashes())
+            evidence.crashes.push_back({ crash_id(crash->id()), std::chrono::milliseconds(crash->age_ms()) });
+    }
+    if (body.answered())
+        evidence.answerAge = std::chrono::milliseconds(body.answer_age_ms());
+    evidence.quarantineLeft = std::chrono::milliseconds(body.quarantine_ms());
+    evidence.quarantineCount = body.quarantines();
+    return evidence;
+}
+
 fleet_message read(const wire::entry_beat& body)
 {
     entry_heartbeat_message message;
@@ -142,6 +173,10 @@
     message.expertCopyTime = duration(body.expert_copy_us());
     message.slots = body.slots();
     message.arrivalsPerSecond = body.arrivals_per_second();
+    if (body.prompt_parts()) {
+        for (const auto* part : *body.prompt_parts())
+            message.promptParts.push_back(read(*part));
+    }
     return message;
 }
 
--- a/fleet/fleet_message.h
+++ b/fleet/fleet_message.h
@@ -5,6 +5,7 @@
 #include "fleet/delegated_result_message.h"
 #include "fleet/demand_report_message.h"
 #include "fleet/demand_route_message.h"
+#include "serving/prompt_part_evidence.h"
 #include "serving/rank_load.h"
 #include "state/ids.h"
 #include "state/time.h"
@@ -46,6 +47,8 @@
     std::vector<group_candidates> groups;
     // Requests for model runners that the sender got lately. Not set for agents.
     float arrivalsPerSecond = 0;
+    // Prompt parts that may crash runners, as far as the sender knows. Empty for agents.
+    std::vector<prompt_part_evidence> promptParts;
     // This and the fields below are set for agents whose group the entry knows. The members are the lowest ranks.
     group_id group;
     std::vector<member> members;
--- a/fleet/request_relay.cpp
+++ b/fleet/request_relay.cpp
@@ -36,6 +36,8 @@
 
 constexpr int firstServerErrorStatus = 500;
 
+constexpr const char* quarantinedReason = "a part of the prompt has crashed runners";
+
 std::int64_t milliseconds(duration time)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
@@ -117,6 +119,12 @@
             self->onDeadline();
     });
     m_caller->setDisconnectHandler([self = shared_from_this()] { self->onCallerDisconnect(); });
+    if (!m_request.promptParts.empty())
+        m_context.addPromptRequest(this, weak_from_this());
+    if (const auto left = quarantineLeft()) {
+        reject(quarantinedReason, *left);
+        return;
+    }
     dispatchOrEnqueue();
 }
 
@@ -185,17 +193,53 @@
     m_ticket.reset();
     if (m_isFinished)
         return;
+    endUnserved("no runner has a free slot", std::nullopt);
+}
+
+void request_relay::endUnserved(const char* why, std::optional<duration> retryAfter)
+{
     if (m_isResponseStarted) {
         m_caller->abort();
-        finish("broken_off", 0, "no runner has a free slot to continue the stream");
+        finish("broken_off", 0, why);
     } else if (m_head && m_head->status >= firstServerErrorStatus && m_head->isSigned) {
         m_caller->respond(m_head->status, m_head->forwardedHeaders, m_body);
-        finish("answered", m_head->status, "no other runner has a free slot");
+        finish("answered", m_head->status, why);
     } else if (m_mayHaveRun) {
-        fail(502, "unknown", "no other runner has a free slot");
+        fail(502, "unknown", why);
+    } else if (retryAfter) {
+        reject(why, *retryAfter);
     } else {
-        reject("no runner has a free slot");
+        reject(why);
+    }
+}
+
+std::optional<duration> request_relay::quarantineLeft() const
+{
+    return m_context.promptQuarantine().quarantineLeft(m_pool, m_request.promptParts, steadyNow());
+}
+
+void request_relay::onQuarantine()
+{
+    if (m_isFinished || m_hasAnswered)
+        return;
+    const auto left = quarantineLeft();
+    if (!left)
+        return;
+    if (m_exchange) {
+        cancelExchange();
+        m_context.runners().onAttemptAbandoned(m_runner);
+        m_mayHaveRun = true;
     }
+    endUnserved(quarantinedReason, left);
+}
+
+void request_relay::recordAnswer()
+{
+    if (m_hasAnswered)
+        return;
+    m_hasAnswered = true;
+    if (!m_request.promptParts.empty())
+        m_context.onAnswer(m_pool, m_request.promptParts);
 }
 
 duration request_relay::timeLeft(time_point now) const
@@ -205,6 +249,12 @@
 
 void request_relay::startAttempt(const runner_id& runner)
 {
+    const auto left = quarantineLeft();
+    if (left) {
+        endUnserved(quarantinedReason, left);
+        return;
+    }
+    m_context.onAttemptSent(m_pool, m_request.promptParts);
     const runner_record* record = m_context.runners().find(runner);
     const time_point now = steadyNow();
     if (!m_triedRunners.empty())
@@ -216,6 +266,7 @@
     m_body.clear();
     m_isRelayingStream = false;
     m_hasReceivedEvent = false;
+    m_hasAnswered = false;
     m_context.runners().onAttemptStarted(runner);
     m_context.queueOf(m_pool).onDispatch(now);
     m_context.log().write("attempt", { { "request", m_request.attemptId }, { "runner", runner.value() }, { "load", static_cast<std::int64_t>(record->estimatedLoad(now)) }, { "own", static_cast<std::int64_t>(record->inFlight) }, { "waited_ms", milliseconds(now - m_arrivedAt) }, { "number", static_cast<std::int64_t>(m_triedRunners.size()) }, { "prompt_parts", describe(m_request.promptParts) }, { "configuration", static_cast<std::int64_t>(m_routes->configuration().version.value()) } });
@@ -294,6 +345,9 @@
         m_context.runners().onFirstEvent(m_runner, now - m_sentAt);
     else
         m_context.runners().onEventGap(m_runner, now - m_lastEventAt, m_route->eventGapObjective, now);
+    // A runner that ends at the beginning of an answer may still have sent its first event.
+    if (m_hasReceivedEvent)
+        recordAnswer();
     m_hasReceivedEvent = true;
     m_lastEventAt = now;
     m_caller->sendChunk(events);
@@ -355,6 +409,8 @@
     m_exchange.reset();
     const time_point now = steadyNow();
     m_context.runners().onAttemptSucceeded(m_runner, now - m_sentAt);
+    if (m_head->status < firstServerErrorStatus)
+        recordAnswer();
     if (m_isRelayingStream)
         m_caller->endStream();
     else
@@ -374,19 +430,26 @@
 void request_relay::onAttemptFailed(attempt_failure failure, const char* why)
 {
     cancelExchange();
-    reportPossibleCrash(failure);
+    const runner_record* record = m_context.runners().find(m_runner);
+    const bool isCrashPossible = record && mayRunnerHaveCrashed(failure);
+    if (isCrashPossible) {
+        m_mayHaveRun = true;
+        m_context.crashDetector().onAttemptBroken(record->listing, m_request.promptParts, [self = shared_from_this(), failure, why](bool hasEnded) {
+            if (!self->m_isFinished)
+                self->retryOrFail(failure, why, hasEnded);
+        });
+    }
     m_context.runners().onAttemptFailed(m_runner, failure, steadyNow());
-    retryOrFail(failure, why);
+    if (!isCrashPossible)
+        retryOrFail(failure, why, false);
 }
 
-void request_relay::reportPossibleCrash(attempt_failure failure)
+bool request_relay::mayRunnerHaveCrashed(attempt_failure failure) const
 {
-    const runner_record* record = m_context.runners().find(m_runner);
-    if (failure == attempt_failure::OutcomeUnknown && !m_hasReceivedEvent && record)
-        m_context.crashDetector().onAttemptBroken(record->listing, m_request.promptParts);
+    return failure == attempt_failure::OutcomeUnknown && !m_hasAnswered && !m_request.promptParts.empty();
 }
 
-void request_relay::retryOrFail(attempt_failure failure, const char* why)
+void request_relay::retryOrFail(attempt_failure failure, const char* why, bool hasRunnerCrashed)
 {
     const time_point now = steadyNow();
     // Only attempts that may have run count toward the route's limit; a request that was not run may go to another runner.
@@ -404,10 +467,11 @@
     failover.attemptsSent = m_attemptsSent;
     failover.maxAttempts = m_route->maxAttempts;
     failover.attemptsNotRun = m_attemptsNotRun;
+    failover.mayCrashRunners = hasRunnerCrashed && m_context.promptQuarantine().isSuspect(m_pool, m_request.promptParts);
     failover.retryAllowed = retryBudget.canRetry(m_context.entriesAlive(), now);
     failover.timeLeft = timeLeft(now);
     const failover_action action = chooseFailoverAction(failover);
-    m_context.log().write("attempt_failed", { { "request", m_request.attemptId }, { "runner", m_runner.value() }, { "failure", nameOf(failure) }, { "why", why }, { "after_ms", milliseconds(now - m_sentAt) }, { "sent", static_cast<std::int64_t>(m_attemptsSent) }, { "answer_begun", m_hasReceivedEvent }, { "retry_allowed", failover.retryAllowed }, { "again", action == failover_action::TryAnother } });
+    m_context.log().write("attempt_failed", { { "request", m_request.attemptId }, { "runner", m_runner.value() }, { "failure", nameOf(failure) }, { "why", why }, { "after_ms", milliseconds(now - m_sentAt) }, { "sent", static_cast<std::int64_t>(m_attemptsSent) }, { "answer_begun", m_hasReceivedEvent }, { "runner_ended", hasRunnerCrashed }, { "retry_allowed", failover.retryAllowed }, { "again", action == failover_action::TryAnother } });
     switch (action) {
     case failover_action::TryAnother:
         if (failure != attempt_failure::NotConnected)
@@ -463,7 +527,11 @@
 
 void request_relay::reject(const char* why)
 {
-    const duration retryAfter = m_pool.value().empty() ? m_context.retryDelayWithoutConfiguration() : m_context.queueOf(m_pool).expectedWait(m_context.freedSlotsPerSecond(m_pool), steadyNow());
+    reject(why, m_pool.value().empty() ? m_context.retryDelayWithoutConfiguration() : m_context.queueOf(m_pool).expectedWait(m_context.freedSlotsPerSecond(m_pool), steadyNow()));
+}
+
+void request_relay::reject(const char* why, duration retryAfter)
+{
     m_caller->respond(503, platform::localResponseHeaders(m_request.attemptId, retryAfter), "");
     finish("not_run", 503, why);
 }
@@ -477,6 +545,7 @@
 void request_relay::finish(const char* outcome, int status, const char* why)
 {
     m_isFinished = true;
+    m_context.removePromptRequest(this);
     const duration total = steadyNow() - m_arrivedAt;
     m_context.log().write("request", { { "request", m_request.attemptId }, { "outcome", outcome }, { "status", static_cast<std::int64_t>(status) }, { "why", why }, { "route", m_route ? std::string_view(m_route->name) : std::string_view() }, { "runner", m_runner.value() }, { "total_ms", milliseconds(total) }, { "first_ms", milliseconds(m_timeToFirstEvent) }, { "longest_gap_ms", milliseconds(m_maxEventGap) }, { "events", static_cast<std::int64_t>(m_events.eventCount()) }, { "waiting", static_cast<std::int64_t>(m_pool.value().empty() ? 0 : m_context.queueOf(m_pool).size()) } });
     m_context.metrics().recordRequest(outcome, total);
--- a/fleet/request_relay.h
+++ b/fleet/request_relay.h
@@ -39,6 +39,9 @@
     // Called when this request leaves the queue because a runner has a free slot.
     void onSlotAvailable();
 
+    // Called when a prompt part has been quarantined. Ends the request if it has the part and its answer has not begun.
+    void onQuarantine();
+
     // Called when waiting is pointless because no slot will become free in time. Ends the request.
     void onNoFreeSlot();
 
@@ -56,14 +59,19 @@
     void onExchangeEnd(runner_exchange::result);
     void onResponseComplete();
     void onAttemptFailed(attempt_failure, const char* why);
-    // Reports an attempt whose connection broke before its answer began, since its runner may have ended.
-    void reportPossibleCrash(attempt_failure);
-    void retryOrFail(attempt_failure, const char* why);
+    // Whether an attempt that failed may have ended its runner, or lost it before its answer began.
+    bool mayRunnerHaveCrashed(attempt_failure) const;
+    void retryOrFail(attempt_failure, const char* why, bool hasRunnerCrashed);
+    // Ends the request without another attempt.
+    void endUnserved(const char* why, std::optional<duration> retryAfter);
+    std::optional<duration> quarantineLeft() const;
+    void recordAnswer();
     void startSilenceTimer();
     void scheduleBacklogCheck();
     void onDeadline();
     void onCallerDisconnect();
     void reject(const char* why);
+    void reject(const char* why, duration retryAfter);
     void fail(int status, const char* outcome, const char* why);
     void finish(const char* outcome, int status, const char* why);
     duration timeLeft(time_point now) const;
@@ -93,6 +101,8 @@
     bool m_isRelayingStream = false;
     // Whether the current attempt has produced an event.
     bool m_hasReceivedEvent = false;
+    // Whether the current attempt has got past the beginning of its answer.
+    bool m_hasAnswered = false;
     time_point m_lastEventAt;
     // Time from the caller's request to the first event of its stream, and the longest time between two events.
     duration m_timeToFirstEvent {};
--- a/serving/failover_action.cpp
+++ b/serving/failover_action.cpp
@@ -14,6 +14,8 @@
 {
     if (context.timeLeft < minAttemptTime)
         return false;
+    if (context.mayCrashRunners)
+        return false;
     if (context.mayHaveRun && !mayRunAgain(context.retrySemantics))
         return false;
     if (context.attemptsSent >= context.maxAttempts || context.attemptsNotRun >= maxAttemptsNotRun)
--- a/serving/failover_action.h
+++ b/serving/failover_action.h
@@ -35,6 +35,8 @@
     std::uint32_t maxAttempts = 1;
     // Attempts that certainly did not run.
     std::uint32_t attemptsNotRun = 0;
+    // Whether the request may be what ended its runner, so that it would end the next one too.
+    bool mayCrashRunners = false;
     // Whether the retry budget allows another attempt.
     bool retryAllowed = false;
     // Until the caller's deadline or the route's time limit, whichever comes first.
