--- a/fleet/entry_context.cpp
+++ b/fleet/entry_context.cpp
@@ -162,10 +162,12 @@
 
 void entry_context::applyQuarantines()
 {
-    const std::vector<prompt_part_evidence> quarantined = m_promptQuarantine.takeQuarantined(steadyNow());
-    for (const prompt_part_evidence& part : quarantined) {
-        m_log.write("prompt_part_quarantined", { { "pool", part.pool.value() }, { "prompt_part", describe({ part.part }) }, { "crashes", static_cast<std::int64_t>(part.crashes.size()) }, { "for_ms", std::chrono::duration_cast<std::chrono::milliseconds>(part.quarantineLeft).count() } });
+    const auto quarantined = m_promptQuarantine.takeQuarantined(steadyNow());
+    for (const auto& [part, isAdopted] : quarantined) {
+        m_log.write("prompt_part_quarantined", { { "pool", part.pool.value() }, { "prompt_part", describe({ part.part }) }, { "crashes", static_cast<std::int64_t>(part.crashes.size()) }, { "for_ms", std::chrono::duration_cast<std::chrono::milliseconds>(part.quarantineLeft).count() }, { "adopted", isAdopted } });
         m_metrics.count("prompt_part_quarantined");
+        if (!isAdopted && m_onQuarantine)
+            m_onQuarantine(part);
     }
     if (quarantined.empty())
         return;
--- a/fleet/entry_context.h
+++ b/fleet/entry_context.h
@@ -87,6 +87,9 @@
     // Called when this entry has evidence that the others should get at once.
     void setEvidenceHandler(std::function<void()> handler) { m_onEvidence = std::move(handler); }
 
+    // Called when this entry has quarantined a prompt part.
+    void setQuarantineHandler(std::function<void(const prompt_part_evidence&)> handler) { m_onQuarantine = std::move(handler); }
+
     // Requests with prompts register until they end, so that they are ended when a part of theirs is quarantined.
     void addPromptRequest(request_relay*, std::weak_ptr<request_relay>);
     void removePromptRequest(request_relay*);
@@ -113,6 +116,7 @@
     crash_detector m_crashDetector;
     prompt_quarantine m_promptQuarantine;
     std::function<void()> m_onEvidence;
+    std::function<void(const prompt_part_evidence&)> m_onQuarantine;
     bool m_isEvidenceScheduled = false;
     std::unordered_map<request_relay*, std::weak_ptr<request_relay>> m_promptRequests;
     std::map<pool_id, admission_queue> m_queues;
--- a/fleet/entry_peers.cpp
+++ b/fleet/entry_peers.cpp
@@ -256,6 +256,8 @@
 
 void entry_peers::onHeartbeat(const entry_heartbeat_message& heartbeat, const std::string& ip)
 {
+    // An entry that stops still serves, and may be the only one that knows.
+    m_entry.onPromptEvidence(heartbeat.promptParts);
     if (heartbeat.isStopping) {
         m_entries.erase(ip);
         m_entry.demand().removePeer(ip);
@@ -268,7 +270,6 @@
         for (const auto& member : group.members)
             addCandidate(group.group, member.rank, member.address, now - member.age, false);
     }
-    m_entry.onPromptEvidence(heartbeat.promptParts);
     m_hooks.onPeerVersions(ip, { heartbeat.configuration, heartbeat.runnerList, heartbeat.runnerDigest, heartbeat.runnerListAge });
 }
 
--- a/fleet/entry_process.cpp
+++ b/fleet/entry_process.cpp
@@ -6,6 +6,7 @@
 #include "fleet/http_listener.h"
 #include "fleet/peer_ports.h"
 #include "fleet/process_metrics.h"
+#include "fleet/quarantine_table.h"
 #include "fleet/request_relay.h"
 #include "fleet/steady_time.h"
 #include "platform/configuration_row.h"
@@ -66,6 +67,7 @@
         , store(io.get_executor(), options.storeAddress)
         , entry(io.get_executor(), options, log, metrics)
         , peers(io, options, entry, log, entry_peers::hooks { [this] { return localVersions(); }, [this](const std::string& ip, const entry_peers::known_versions& versions) { onPeerVersions(ip, versions); } })
+        , quarantines(io.get_executor(), store, log, [this](const std::vector<prompt_part_evidence>& parts) { entry.onPromptEvidence(parts); })
         , listingTimer(io)
         , stopTimer(io)
     {
@@ -78,6 +80,7 @@
     platform::store_client store;
     entry_context entry;
     entry_peers peers;
+    quarantine_table quarantines;
     runner_listing listing;
     // Table rows as read from the store, served to peers that cannot reach it.
     std::map<std::string, platform::store_row> configurationRows;
@@ -135,6 +138,8 @@
         return false;
     followConfiguration();
     followRunners();
+    entry.setQuarantineHandler([this](const prompt_part_evidence& part) { quarantines.save(part); });
+    quarantines.load();
     std::string problem;
     if (peers.start(problem))
         return true;
--- a/serving/prompt_quarantine.cpp
+++ b/serving/prompt_quarantine.cpp
@@ -165,7 +165,7 @@
             return;
         const duration time = std::min(initialQuarantine * (1 << std::min(worst->quarantineCount, maxQuarantineDoublings)), maxQuarantine);
         ++worst->quarantineCount;
-        quarantine(*worstKey, *worst, time, now);
+        quarantine(*worstKey, *worst, time, false, now);
     }
 }
 
@@ -176,12 +176,12 @@
     return otherAnswers >= minOtherAnswers && known.crashes.size() >= (answered ? crashesOfAnsweredPart : crashesOfUnansweredPart);
 }
 
-void prompt_quarantine::quarantine(const part_key& key, suspect& known, duration time, time_point now)
+void prompt_quarantine::quarantine(const part_key& key, suspect& known, duration time, bool isAdopted, time_point now)
 {
     known.quarantinedUntil = now + time + std::chrono::duration_cast<duration>(time * quarantineJitter * m_random());
     known.trialUntil = {};
     explainCrashes(known, now);
-    m_newlyQuarantined.push_back(key);
+    m_newlyQuarantined.emplace_back(key, isAdopted);
 }
 
 void prompt_quarantine::onEvidence(const prompt_part_evidence& told, time_point now)
@@ -192,7 +192,9 @@
         recordAnswered(key, { now - *told.answerAge, m_answers[told.pool] });
     const answered_part* answered = findAnswered(key);
     const auto isOutdated = [&](const prompt_part_evidence::crash& crash) { return answered && now - crash.age <= answered->at; };
-    if (std::all_of(told.crashes.begin(), told.crashes.end(), isOutdated)) {
+    // A quarantine that an earlier process has stored comes without its crashes.
+    const bool isStoredQuarantine = told.quarantineLeft > duration {} && told.crashes.empty() && !answered;
+    if (!isStoredQuarantine && std::all_of(told.crashes.begin(), told.crashes.end(), isOutdated)) {
         onAnsweredSince(key, !told.crashes.empty(), now);
         return;
     }
@@ -201,7 +203,7 @@
     if (told.quarantineLeft > duration {} && !isQuarantinedHere) {
         suspect& known = m_suspects[key];
         known.quarantineCount = std::max(known.quarantineCount, told.quarantineCount);
-        quarantine(key, known, std::min(told.quarantineLeft, maxQuarantine), now);
+        quarantine(key, known, std::min(told.quarantineLeft, maxQuarantine), true, now);
     }
     for (const auto& crash : told.crashes) {
         if (!isOutdated(crash))
@@ -246,7 +248,7 @@
 {
     std::vector<prompt_part_evidence> all;
     for (const auto& [key, known] : m_suspects) {
-        if (!known.crashes.empty() || (known.clearedAt && now - *known.clearedAt <= clearedLifetime))
+        if (!known.crashes.empty() || isQuarantined(known, now) || (known.clearedAt && now - *known.clearedAt <= clearedLifetime))
             all.push_back(evidenceOf(key, known, now));
     }
     const auto weight = [](const prompt_part_evidence& told) { return std::pair(told.quarantineLeft > duration {}, told.crashes.size()); };
@@ -294,13 +296,13 @@
     });
 }
 
-std::vector<prompt_part_evidence> prompt_quarantine::takeQuarantined(time_point now)
+std::vector<prompt_quarantine::quarantined_part> prompt_quarantine::takeQuarantined(time_point now)
 {
-    std::vector<prompt_part_evidence> parts;
-    for (const part_key& key : m_newlyQuarantined) {
+    std::vector<quarantined_part> parts;
+    for (const auto& [key, isAdopted] : m_newlyQuarantined) {
         const auto known = m_suspects.find(key);
         if (known != m_suspects.end())
-            parts.push_back(evidenceOf(key, known->second, now));
+            parts.push_back({ evidenceOf(key, known->second, now), isAdopted });
     }
     m_newlyQuarantined.clear();
     return parts;
--- a/serving/prompt_quarantine.h
+++ b/serving/prompt_quarantine.h
@@ -51,8 +51,14 @@
     // one. False while too few requests have been answered to tell.
     bool isSuspect(const pool_id&, const std::vector<prompt_part_id>&) const;
 
-    // Removes and returns the parts that have been quarantined since the last call, with what is known of them.
-    std::vector<prompt_part_evidence> takeQuarantined(time_point now);
+    struct quarantined_part {
+        prompt_part_evidence evidence;
+        // Whether another entry has quarantined it, or an earlier process.
+        bool isAdopted = false;
+    };
+
+    // Removes and returns the parts that have been quarantined since the last call.
+    std::vector<quarantined_part> takeQuarantined(time_point now);
 
 private:
     using part_key = std::pair<pool_id, prompt_part_id>;
@@ -93,7 +99,7 @@
     bool isConvicted(const part_key&, const suspect&, time_point now);
     bool hasCrashedEnough(const part_key&, const suspect&);
     void updateQuarantines(time_point now);
-    void quarantine(const part_key&, suspect&, duration, time_point now);
+    void quarantine(const part_key&, suspect&, duration, bool isAdopted, time_point now);
     // A request with the part has been answered since all crashes that another entry told of.
     void onAnsweredSince(const part_key&, bool isSuspectElsewhere, time_point now);
     prompt_part_evidence evidenceOf(const part_key&, const suspect&, time_point now) const;
@@ -107,7 +113,8 @@
     std::map<part_key, suspect> m_suspects;
     // Crashes with a quarantined part, and when they were found to be.
     std::map<crash_id, time_point> m_explainedCrashes;
-    std::vector<part_key> m_newlyQuarantined;
+    // With whether the quarantine is adopted.
+    std::vector<std::pair<part_key, bool>> m_newlyQuarantined;
 };
 
 }
--- a/tests/fleet/entry_crash_test.cpp
+++ b/tests/fleet/entry_crash_test.cpp
@@ -1,3 +1,6 @@
+#include "fleet/fleet_message.h"
+#include "fleet/peer_ports.h"
+#include "platform/quarantine_row.h"
 #include "tests/fleet/entry_fixture.h"
 
 namespace sardinelb::test {
@@ -37,6 +40,16 @@
         return call(request("POST", "/write/x", "Authorization: Bearer k1\r\nPrefix-Hash: " + parts + "\r\n", "prompt"));
     }
 
+    // Sends a datagram to the entry, as another entry would.
+    void sendDatagram(const std::string& bytes)
+    {
+        using boost::asio::ip::udp;
+        udp::socket socket(m_context, udp::endpoint(udp::v4(), 0));
+        const unsigned short port = m_settings.firstPeerPort + entryDatagramPortOffset;
+        socket.send_to(boost::asio::buffer(bytes), udp::endpoint(boost::asio::ip::make_address("127.0.0.1"), port));
+        runFor(std::chrono::milliseconds(20));
+    }
+
     int m_crashes = 0;
 };
 
@@ -80,4 +93,47 @@
     EXPECT_LT(result.took, std::chrono::milliseconds(200));
 }
 
+// Guards against forgetting, when all entries restart, which prompt parts crash runners.
+TEST_F(entry_crash, promptPartQuarantined_entryRestarts_requestStillRejected)
+{
+    prompt_part_evidence stored;
+    stored.pool = pool_id("plain");
+    stored.part = prompt_part_id(0xdead);
+    stored.quarantineLeft = std::chrono::minutes(1);
+    m_quarantineRows["row"] = platform::encodeQuarantine(stored, std::chrono::system_clock::now());
+    m_quarantineRows["bad"] = "{}";
+    addRunners();
+    EXPECT_EQ(generate("a:40,dead:60,d:9").status, 503);
+    EXPECT_EQ(generate("a:40,b:60,d:9").status, 200);
+    EXPECT_EQ(m_crashes, 0);
+}
+
+// Guards against a quarantine that is lost because the store did not answer once.
+TEST_F(entry_crash, promptPartQuarantined_storeRefusesFirst_storedOnce)
+{
+    m_writeStatus = 503;
+    addRunners();
+    for (int i = 0; i < ordinaryRequests; ++i)
+        ASSERT_EQ(generate("a:40,b:60,c" + std::to_string(i) + ":9").status, 200);
+    for (int i = 0; i < 2; ++i)
+        generate("a:40,dead:60,d" + std::to_string(i) + ":9");
+    runFor(std::chrono::milliseconds(100));
+    ASSERT_EQ(m_writes.size(), 1U);
+    m_writeStatus = 200;
+    runFor(std::chrono::milliseconds(1300));
+    EXPECT_EQ(m_writes.size(), 2U);
+}
+
+// Guards against ignoring what an entry that stops has learned: entries that replace it would let the runners crash again.
+TEST_F(entry_crash, entryThatStops_tellsOfQuarantine_requestRejected)
+{
+    addRunners();
+    entry_heartbeat_message heartbeat;
+    heartbeat.isStopping = true;
+    heartbeat.promptParts = { { pool_id("plain"), prompt_part_id(0xdead), 1, { { crash_id(1), {} }, { crash_id(2), {} } }, std::nullopt, std::chrono::seconds(30), 1 } };
+    sendDatagram(encode(heartbeat));
+    EXPECT_EQ(generate("a:40,dead:60,d:9").status, 503);
+    EXPECT_EQ(m_crashes, 0);
+}
+
 }
--- a/tests/fleet/entry_fixture.h
+++ b/tests/fleet/entry_fixture.h
@@ -233,6 +233,11 @@
     std::string m_configuration;
     // Rows of the table of runners.
     std::map<std::string, std::string> m_rows;
+    // Rows of the table of quarantined prompt parts.
+    std::map<std::string, std::string> m_quarantineRows;
+    // Bodies of the writes to the store, and the status with which it responds to them.
+    std::vector<std::string> m_writes;
+    int m_writeStatus = 200;
     // HTTP status of all responses of the store; 0 for normal responses.
     int m_storeErrorStatus = 0;
     std::uint64_t m_revision = 10;
@@ -248,10 +253,19 @@
             caller->respond(m_storeErrorStatus, "", "");
             return;
         }
+        if (message.target == "/v1/rows-tx") {
+            m_writes.push_back(message.body);
+            caller->respond(m_writeStatus, "", R"({"ver":11,"now_ms":1})");
+            return;
+        }
+        const bool isQuarantine = message.target.find("table=quarantine") != std::string::npos;
         const bool isConfiguration = message.target.find("table=op") != std::string::npos;
         const bool isFeed = message.target.find("rows-feed") != std::string::npos;
         std::vector<platform::store_row> rows;
-        if (isConfiguration) {
+        if (isQuarantine) {
+            for (const auto& [id, value] : m_quarantineRows)
+                rows.push_back({ id, value, row_revision(m_revision), false });
+        } else if (isConfiguration) {
             rows.push_back({ "config", m_configuration, row_revision(m_revision), false });
         } else {
             for (const auto& [id, value] : m_rows)
--- a/tests/fleet/platform_translation_test.cpp
+++ b/tests/fleet/platform_translation_test.cpp
@@ -1,4 +1,5 @@
 #include "platform/configuration_row.h"
+#include "platform/quarantine_row.h"
 #include "platform/request_translation.h"
 #include "platform/runner_row.h"
 #include "platform/settings.h"
@@ -105,6 +106,30 @@
     EXPECT_NE(head.forwardedHeaders.find("X-A: b\r\n"), std::string::npos);
 }
 
+class quarantine_row : public testing::Test { };
+
+// Guards against a row that keeps a prompt part out for good, and against rows of other writers that stop an entry.
+TEST_F(quarantine_row, written_read_sameAndBounded)
+{
+    const auto now = std::chrono::system_clock::now();
+    prompt_part_evidence evidence;
+    evidence.pool = pool_id("p");
+    evidence.part = prompt_part_id(0xabc);
+    evidence.position = 1;
+    evidence.quarantineLeft = std::chrono::seconds(60);
+    evidence.quarantineCount = 2;
+    const auto read = platform::readQuarantine(platform::encodeQuarantine(evidence, now), now + std::chrono::seconds(10));
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->pool, evidence.pool);
+    EXPECT_EQ(read->part, evidence.part);
+    EXPECT_EQ(read->quarantineCount, 2U);
+    EXPECT_NEAR(std::chrono::duration<double>(read->quarantineLeft).count(), 50, 0.1);
+    EXPECT_EQ(platform::readQuarantine(platform::encodeQuarantine(evidence, now), now + std::chrono::hours(1))->quarantineLeft, duration {});
+    EXPECT_LE(platform::readQuarantine(R"({"pool":"p","part":"abc","until_ms":1e300})", now)->quarantineLeft, std::chrono::hours(2));
+    for (const char* malformed : { "", "[]", "{}", R"({"pool":"p","part":"xyz","until_ms":1})", R"({"pool":1,"part":"abc","until_ms":"x"})" })
+        EXPECT_FALSE(platform::readQuarantine(malformed, now)) << malformed;
+}
+
 class settings_file : public testing::Test {
 protected:
     std::optional<platform::settings> read(const std::string& text)
