--- a/fleet/entry_context.cpp
+++ b/fleet/entry_context.cpp
@@ -179,6 +179,12 @@
     }
 }
 
+void entry_context::onNamedLimit(const runner_id& runner, std::optional<double> requestsPerSecond)
+{
+    if (m_runners.onNamedLimit(runner, requestsPerSecond))
+        m_log.write("runner_limit", { { "runner", runner.value() }, { "limited", requestsPerSecond.has_value() }, { "requests_per_second", requestsPerSecond.value_or(0) } });
+}
+
 void entry_context::onAnswer(const pool_id& pool, const std::vector<prompt_part_id>& parts)
 {
     m_promptQuarantine.onAnswer(pool, parts, steadyNow());
--- a/fleet/entry_context.h
+++ b/fleet/entry_context.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <unordered_map>
 
@@ -84,6 +85,9 @@
     // Evidence of another entry.
     void onPromptEvidence(const std::vector<prompt_part_evidence>&);
 
+    // A runner named a limit in an answer, or none.
+    void onNamedLimit(const runner_id&, std::optional<double> requestsPerSecond);
+
     // Called when this entry has evidence that the others should get at once.
     void setEvidenceHandler(std::function<void()> handler) { m_onEvidence = std::move(handler); }
 
--- a/fleet/request_relay.cpp
+++ b/fleet/request_relay.cpp
@@ -295,6 +295,8 @@
         onAttemptFailed(attempt_failure::WrongRunner, "response from another runner than addressed");
         return;
     }
+    if (m_head->isNotExecuted || m_head->attemptId == m_request.attemptId)
+        m_context.onNamedLimit(m_runner, m_head->requestsPerSecond);
     if (m_head->isNotExecuted) {
         onAttemptFailed(attempt_failure::Rejected, "runner reports that it did not run the request");
         return;
--- a/serving/runner_directory.cpp
+++ b/serving/runner_directory.cpp
@@ -404,6 +404,15 @@
     record->backoffUntil = now + std::min(initialBackoff * (1 << doubling), maxBackoff);
 }
 
+bool runner_directory::onNamedLimit(const runner_id& id, std::optional<double> requestsPerSecond)
+{
+    runner_record* record = findRecord(id);
+    if (!record || record->namedLimit == requestsPerSecond)
+        return false;
+    record->namedLimit = requestsPerSecond;
+    return true;
+}
+
 void runner_directory::onFirstEvent(const runner_id& id, duration sinceSent)
 {
     const runner_record* record = find(id);
--- a/serving/runner_directory.h
+++ b/serving/runner_directory.h
@@ -74,6 +74,10 @@
     // Ends an attempt that says nothing about the runner's health, such as when the caller left.
     void onAttemptAbandoned(const runner_id&);
 
+    // Records the limit that a runner names in an answer to this entry, in requests a second from all entries together, or that it names
+    // none. Returns whether this is news.
+    bool onNamedLimit(const runner_id&, std::optional<double> requestsPerSecond);
+
     // Records the time from sending a request to the first event of its stream.
     void onFirstEvent(const runner_id&, duration sinceSent);
 
--- a/serving/runner_record.h
+++ b/serving/runner_record.h
@@ -33,6 +33,8 @@
     std::optional<load_sample> load;
     group_id group;
     rank_id rank;
+    // Limit that the runner named in its last answer to this entry, in requests a second.
+    std::optional<double> namedLimit;
     // Moving average of the fraction of attempts that failed.
     double failureRate = 0;
     // Moving average of the response time of a runner without an engine profile. 0 before the first response.
--- a/serving/runner_response_head.h
+++ b/serving/runner_response_head.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 
 namespace sardinelb {
@@ -17,6 +18,8 @@
     bool isFromWrongRunner = false;
     // Whether an intermediary encoded the body, so that it is not the one that the runner sent.
     bool isEncoded = false;
+    // Requests a second that the runner takes from all entries together, for as long as it says so. Nothing if it names no limit.
+    std::optional<double> requestsPerSecond;
     // Header lines to forward to the caller, each with its line end, without the hop-by-hop fields.
     std::string forwardedHeaders;
 };
--- a/tests/fleet/platform_translation_test.cpp
+++ b/tests/fleet/platform_translation_test.cpp
@@ -106,6 +106,17 @@
     EXPECT_NE(head.forwardedHeaders.find("X-A: b\r\n"), std::string::npos);
 }
 
+// Guards against a malformed limit that stops all requests to a runner, or lifts its limit to infinity.
+TEST_F(request_fields, runnerLimit_read_numbersOnly)
+{
+    const auto limitOf = [](const std::string& text) { return platform::readResponseHead({ 200, { { "server-limit", text } } }).requestsPerSecond; };
+    EXPECT_EQ(limitOf("2.75"), 2.75);
+    EXPECT_EQ(limitOf("0"), 0.0);
+    for (const char* malformed : { "", "x", "2.5 a second", "-1", "nan", "inf", "1e999" })
+        EXPECT_FALSE(limitOf(malformed)) << malformed;
+    EXPECT_FALSE(platform::readResponseHead({ 200, {} }).requestsPerSecond);
+}
+
 class quarantine_row : public testing::Test { };
 
 // Guards against a row that keeps a prompt part out for good, and against rows of other writers that stop an entry.
