--- a/fleet/crash_detector.cpp
+++ b/fleet/crash_detector.cpp
@@ -3,7 +3,6 @@
 #include "fleet/steady_time.h"
 #include "relay/endpoint.h"
 #include "serving/listed_runner.h"
-#include "serving/stable_hash.h"
 
 #include <chrono>
 #include <memory>
@@ -37,14 +36,6 @@
     asio::steady_timer timer;
 };
 
-crash_id crashOf(const listed_runner& runner)
-{
-    stable_hash hash;
-    hash.add(runner.id.value());
-    hash.add(std::to_string(runner.startedAtMs));
-    return crash_id(hash.value());
-}
-
 }
 
 crash_detector::crash_detector(asio::any_io_executor executor, hooks callbacks)
@@ -56,22 +47,22 @@
 void crash_detector::onAttemptBroken(const listed_runner& runner, const std::vector<prompt_part_id>& parts, receiver onResult)
 {
     removeExpired(steadyNow());
-    const crash_id id = crashOf(runner);
-    const auto [known, isNew] = m_suspicions.try_emplace(id);
-    known->second.pending.push_back({ { id, runner.id, runner.pool, parts }, std::move(onResult) });
+    const runner_process_id process = processOf(runner);
+    const auto [known, isNew] = m_suspicions.try_emplace(process);
+    known->second.pending.push_back({ { process, runner.id, runner.pool, parts }, std::move(onResult) });
     if (isNew) {
         known->second.startedAt = steadyNow();
-        probe(runner.address, id);
+        probe(runner.address, process);
     } else if (known->second.hasEnded) {
-        asio::post(m_executor, [this, id] { onProbed(id, true); });
+        asio::post(m_executor, [this, process] { onProbed(process, true); });
     }
 }
 
-void crash_detector::probe(const std::string& address, crash_id id)
+void crash_detector::probe(const std::string& address, runner_process_id process)
 {
     const auto endpoint = tcpEndpoint(address);
     if (!endpoint) {
-        asio::post(m_executor, [this, id] { onProbed(id, false); });
+        asio::post(m_executor, [this, process] { onProbed(process, false); });
         return;
     }
     const auto connection = std::make_shared<probe_connection>(m_executor);
@@ -81,15 +72,15 @@
         if (!error)
             connection->socket.close(ignored);
     });
-    connection->socket.async_connect(*endpoint, [this, connection, id](const error_code& error) {
+    connection->socket.async_connect(*endpoint, [this, connection, process](const error_code& error) {
         connection->timer.cancel();
-        onProbed(id, error == asio::error::connection_refused);
+        onProbed(process, error == asio::error::connection_refused);
     });
 }
 
-void crash_detector::onProbed(crash_id id, bool hasEnded)
+void crash_detector::onProbed(runner_process_id process, bool hasEnded)
 {
-    const auto known = m_suspicions.find(id);
+    const auto known = m_suspicions.find(process);
     if (known == m_suspicions.end())
         return;
     const std::vector<broken_attempt> pending = std::move(known->second.pending);
--- a/fleet/crash_detector.h
+++ b/fleet/crash_detector.h
@@ -44,13 +44,13 @@
         std::vector<broken_attempt> pending;
     };
 
-    void probe(const std::string& address, crash_id);
-    void onProbed(crash_id, bool hasEnded);
+    void probe(const std::string& address, runner_process_id);
+    void onProbed(runner_process_id, bool hasEnded);
     void removeExpired(time_point now);
 
     boost::asio::any_io_executor m_executor;
     hooks m_hooks;
-    std::map<crash_id, suspicion> m_suspicions;
+    std::map<runner_process_id, suspicion> m_suspicions;
 };
 
 }
--- a/fleet/fleet_message.cpp
+++ b/fleet/fleet_message.cpp
@@ -35,7 +35,7 @@
         for (const prompt_part_evidence& part : parts) {
             std::vector<flatbuffers::Offset<wire::runner_crash>> crashes;
             for (const auto& crash : part.crashes)
-                crashes.push_back(wire::Createrunner_crash(builder, crash.id.value(), milliseconds(crash.age)));
+                crashes.push_back(wire::Createrunner_crash(builder, crash.process.value(), milliseconds(crash.age)));
             offsets.push_back(wire::Createprompt_partDirect(builder, part.pool.value().c_str(), part.part.value(), part.position, &crashes, part.answerAge.has_value(),
                 milliseconds(part.answerAge.value_or(duration {})), milliseconds(part.quarantineLeft), part.quarantineCount));
         }
@@ -144,7 +144,7 @@
     evidence.position = body.position();
     if (body.crashes()) {
         for (const auto* crash : *body.crashes())
-            evidence.crashes.push_back({ crash_id(crash->id()), std::chrono::milliseconds(crash->age_ms()) });
+            evidence.crashes.push_back({ runner_process_id(crash->process()), std::chrono::milliseconds(crash->age_ms()) });
     }
     if (body.answered())
         evidence.answerAge = std::chrono::milliseconds(body.answer_age_ms());
--- a/serving/listed_runner.h
+++ b/serving/listed_runner.h
@@ -23,4 +23,7 @@
     friend bool operator==(const listed_runner&, const listed_runner&) = default;
 };
 
+// Names the runner's process. The same at all entries.
+runner_process_id processOf(const listed_runner&);
+
 }
--- a/serving/prompt_part_evidence.h
+++ b/serving/prompt_part_evidence.h
@@ -13,7 +13,7 @@
 // requests. Times are ages, so that clocks need not agree.
 struct prompt_part_evidence {
     struct crash {
-        crash_id id;
+        runner_process_id process;
         duration age {};
     };
 
--- a/serving/prompt_quarantine.cpp
+++ b/serving/prompt_quarantine.cpp
@@ -97,21 +97,21 @@
 {
     for (std::uint32_t position = 0; position < crash.promptParts.size(); ++position) {
         const part_key key { crash.pool, crash.promptParts[position] };
-        addCrash(key, crash.crash, position, now, now);
+        addCrash(key, crash.process, position, now, now);
     }
     updateQuarantines(now);
     removeExpired(now);
 }
 
-void prompt_quarantine::addCrash(const part_key& key, crash_id id, std::uint32_t position, time_point at, time_point now)
+void prompt_quarantine::addCrash(const part_key& key, runner_process_id process, std::uint32_t position, time_point at, time_point now)
 {
     const auto before = m_suspects.find(key);
     const bool isQuarantinedNow = before != m_suspects.end() && isQuarantined(before->second, now);
-    if (m_explainedCrashes.contains(id) && !isQuarantinedNow)
+    if (m_explainedCrashes.contains(process) && !isQuarantinedNow)
         return;
     suspect& known = m_suspects[key];
     known.position = std::max(known.position, position);
-    if (!known.crashes.try_emplace(id, at).second)
+    if (!known.crashes.try_emplace(process, at).second)
         return;
     known.clearedAt.reset();
     known.lastCrashAt = std::max(known.lastCrashAt, at);
@@ -130,12 +130,12 @@
 
 void prompt_quarantine::explainCrashes(const suspect& cause, time_point now)
 {
-    for (const auto& [id, at] : cause.crashes) {
-        if (!m_explainedCrashes.try_emplace(id, now).second)
+    for (const auto& [process, at] : cause.crashes) {
+        if (!m_explainedCrashes.try_emplace(process, now).second)
             continue;
         for (auto& [key, known] : m_suspects) {
             if (!isQuarantined(known, now))
-                known.crashes.erase(id);
+                known.crashes.erase(process);
         }
     }
 }
@@ -207,7 +207,7 @@
     }
     for (const auto& crash : told.crashes) {
         if (!isOutdated(crash))
-            addCrash(key, crash.id, told.position, now - crash.age, now);
+            addCrash(key, crash.process, told.position, now - crash.age, now);
     }
     updateQuarantines(now);
     removeExpired(now);
@@ -231,8 +231,8 @@
     prompt_part_evidence told;
     told.pool = key.first;
     told.part = key.second;
-    for (const auto& [id, at] : known.crashes)
-        told.crashes.push_back({ id, now - at });
+    for (const auto& [process, at] : known.crashes)
+        told.crashes.push_back({ process, now - at });
     std::sort(told.crashes.begin(), told.crashes.end(), [](const auto& a, const auto& b) { return a.age < b.age; });
     told.crashes.resize(std::min(told.crashes.size(), maxToldCrashesPerPart));
     if (const answered_part* answered = findAnswered(key))
--- a/serving/prompt_quarantine.h
+++ b/serving/prompt_quarantine.h
@@ -74,7 +74,7 @@
     };
 
     struct suspect {
-        std::map<crash_id, time_point> crashes;
+        std::map<runner_process_id, time_point> crashes;
         time_point lastCrashAt;
         // Position of the part in the prompts, from 0.
         std::uint32_t position = 0;
@@ -91,7 +91,7 @@
 
     const answered_part* findAnswered(const part_key&) const;
     void recordAnswered(const part_key&, answered_part);
-    void addCrash(const part_key&, crash_id, std::uint32_t position, time_point at, time_point now);
+    void addCrash(const part_key&, runner_process_id, std::uint32_t position, time_point at, time_point now);
     // The crashes of a quarantined part no longer count against other parts.
     void explainCrashes(const suspect& cause, time_point now);
     static void clear(suspect&, time_point now);
@@ -112,7 +112,7 @@
     answered_parts m_answeredBefore;
     std::map<part_key, suspect> m_suspects;
     // Crashes with a quarantined part, and when they were found to be.
-    std::map<crash_id, time_point> m_explainedCrashes;
+    std::map<runner_process_id, time_point> m_explainedCrashes;
     // With whether the quarantine is adopted.
     std::vector<std::pair<part_key, bool>> m_newlyQuarantined;
 };
--- a/serving/runner_crash.h
+++ b/serving/runner_crash.h
@@ -8,8 +8,7 @@
 
 // A runner process ended while a request waited for its answer to begin.
 struct runner_crash {
-    // The same for all requests on that process, and at all entries.
-    crash_id crash;
+    runner_process_id process;
     runner_id runner;
     pool_id pool;
     // Parts of the request's prompt.
--- a/state/ids.h
+++ b/state/ids.h
@@ -26,8 +26,8 @@
 // Part of a prompt, by the hash of its content as callers state it. Requests with the same part share it.
 using prompt_part_id = strong_value<struct prompt_part_tag, std::uint64_t>;
 
-// Identifies the end of one process of a runner.
-using crash_id = strong_value<struct crash_tag, std::uint64_t>;
+// Identifies one process of a runner: a runner that starts again under its id has another one.
+using runner_process_id = strong_value<struct runner_process_tag, std::uint64_t>;
 
 // Index of a rank in its group and of an expert in its layer.
 using rank_id = strong_value<struct rank_tag, std::uint32_t>;
--- a/tests/fleet/entry_crash_test.cpp
+++ b/tests/fleet/entry_crash_test.cpp
@@ -130,7 +130,7 @@
     addRunners();
     entry_heartbeat_message heartbeat;
     heartbeat.isStopping = true;
-    heartbeat.promptParts = { { pool_id("plain"), prompt_part_id(0xdead), 1, { { crash_id(1), {} }, { crash_id(2), {} } }, std::nullopt, std::chrono::seconds(30), 1 } };
+    heartbeat.promptParts = { { pool_id("plain"), prompt_part_id(0xdead), 1, { { runner_process_id(1), {} }, { runner_process_id(2), {} } }, std::nullopt, std::chrono::seconds(30), 1 } };
     sendDatagram(encode(heartbeat));
     EXPECT_EQ(generate("a:40,dead:60,d:9").status, 503);
     EXPECT_EQ(m_crashes, 0);
--- a/tests/fleet/fleet_message_test.cpp
+++ b/tests/fleet/fleet_message_test.cpp
@@ -53,7 +53,7 @@
     heartbeat.configuration = config_version(9);
     heartbeat.members = { { rank_id(1), "10.0.0.1:80", std::chrono::milliseconds(70) } };
     heartbeat.groups = { { group_id("g0-1"), heartbeat.members } };
-    heartbeat.promptParts = { { pool_id("p"), prompt_part_id(66), 1, { { crash_id(5), std::chrono::milliseconds(40) } }, std::chrono::seconds(2), std::chrono::seconds(60), 3 } };
+    heartbeat.promptParts = { { pool_id("p"), prompt_part_id(66), 1, { { runner_process_id(5), std::chrono::milliseconds(40) } }, std::chrono::seconds(2), std::chrono::seconds(60), 3 } };
     const auto decoded = decode(encode(heartbeat));
     ASSERT_TRUE(decoded);
     const auto& message = std::get<entry_heartbeat_message>(*decoded);
--- a/tests/fleet/prompt_quarantine_test.cpp
+++ b/tests/fleet/prompt_quarantine_test.cpp
@@ -31,7 +31,7 @@
 
 runner_crash crashWith(std::uint64_t crash, const parts& ids)
 {
-    return { crash_id(crash), runner_id("r" + std::to_string(crash)), pool, ids };
+    return { runner_process_id(crash), runner_id("r" + std::to_string(crash)), pool, ids };
 }
 
 }
