--- a/fleet/entry_context.cpp
+++ b/fleet/entry_context.cpp
@@ -59,10 +59,11 @@
     dispatchWaiting();
 }
 
-void entry_context::setEntriesAlive(std::size_t count)
+void entry_context::setEntries(std::vector<std::string> addresses)
 {
-    m_entriesAlive = count;
-    m_runners.setEntryCount(count);
+    m_entriesAlive = addresses.size();
+    m_runners.setEntryCount(m_entriesAlive);
+    m_runners.setEntries(m_settings.ip, std::move(addresses));
 }
 
 retry_budget_share& entry_context::retryBudgetOf(const pool_id& pool)
@@ -181,10 +182,18 @@
 
 void entry_context::onNamedLimit(const runner_id& runner, std::optional<double> requestsPerSecond)
 {
-    if (m_runners.onNamedLimit(runner, requestsPerSecond))
+    if (m_runners.onNamedLimit(runner, requestsPerSecond, steadyNow()))
         m_log.write("runner_limit", { { "runner", runner.value() }, { "limited", requestsPerSecond.has_value() }, { "requests_per_second", requestsPerSecond.value_or(0) } });
 }
 
+void entry_context::onLimitNews(const std::vector<runner_limit_news>& all)
+{
+    for (const runner_limit_news& news : all) {
+        if (m_runners.onLimitNews(news, steadyNow()))
+            m_log.write("runner_limit_heard", { { "process", static_cast<std::int64_t>(news.runner.value()) }, { "limited", news.requestsPerSecond.has_value() }, { "requests_per_second", news.requestsPerSecond.value_or(0) } });
+    }
+}
+
 void entry_context::onAnswer(const pool_id& pool, const std::vector<prompt_part_id>& parts)
 {
     m_promptQuarantine.onAnswer(pool, parts, steadyNow());
--- a/fleet/entry_context.h
+++ b/fleet/entry_context.h
@@ -38,7 +38,8 @@
     // Applies the configuration; ignored unless its version is newer.
     void setConfiguration(std::shared_ptr<const route_index>);
     void setRunners(const std::vector<listed_runner>&);
-    void setEntriesAlive(std::size_t count);
+    // Sets the addresses of all live entries, including this one.
+    void setEntries(std::vector<std::string> addresses);
 
     // Null before the first configuration.
     const std::shared_ptr<const route_index>& routes() const { return m_routes; }
@@ -87,6 +88,8 @@
 
     // A runner named a limit in an answer, or none.
     void onNamedLimit(const runner_id&, std::optional<double> requestsPerSecond);
+    // Limits that runners named in answers to another entry.
+    void onLimitNews(const std::vector<runner_limit_news>&);
 
     // Called when this entry has evidence that the others should get at once.
     void setEvidenceHandler(std::function<void()> handler) { m_onEvidence = std::move(handler); }
--- a/fleet/entry_peers.cpp
+++ b/fleet/entry_peers.cpp
@@ -99,15 +99,20 @@
     for (auto& [group, candidates] : m_candidates)
         std::erase_if(candidates, [&](const auto& entry) { return now - entry.second.heardAt > candidateTimeout; });
     std::erase_if(m_candidates, [](const auto& entry) { return entry.second.empty(); });
-    m_entry.setEntriesAlive(m_entries.size() + 1);
+    m_entry.setEntries(liveEntries());
 }
 
-void entry_peers::updateFollowedRunners()
+std::vector<std::string> entry_peers::liveEntries() const
 {
     std::vector<std::string> entries { m_settings.ip };
     for (const auto& [ip, at] : m_entries)
         entries.push_back(ip);
-    m_entry.runners().setFollowed(followedRunners(m_entry.runners().modelRunnerAddresses(), m_settings.ip, entries));
+    return entries;
+}
+
+void entry_peers::updateFollowedRunners()
+{
+    m_entry.runners().setFollowed(followedRunners(m_entry.runners().modelRunnerAddresses(), m_settings.ip, liveEntries()));
 }
 
 bool entry_peers::isStorePoller() const
@@ -148,6 +153,7 @@
     entry_heartbeat_message heartbeat = createHeartbeat();
     heartbeat.arrivalsPerSecond = static_cast<float>(m_arrivalsPerSecond);
     heartbeat.groups = directCandidates();
+    heartbeat.runnerLimits = m_entry.runners().limitNews(steadyNow());
     heartbeat.promptParts = m_entry.promptQuarantine().evidence(steadyNow());
     const std::string bytes = encode(heartbeat);
     for (const auto& [ip, at] : m_entries) {
@@ -258,6 +264,7 @@
 {
     // An entry that stops still serves, and may be the only one that knows.
     m_entry.onPromptEvidence(heartbeat.promptParts);
+    m_entry.onLimitNews(heartbeat.runnerLimits);
     if (heartbeat.isStopping) {
         m_entries.erase(ip);
         m_entry.demand().removePeer(ip);
--- a/fleet/entry_peers.h
+++ b/fleet/entry_peers.h
@@ -86,6 +86,8 @@
     void sendToAgents();
     void updateFollowedRunners();
     void removeSilent();
+    // IP addresses of this entry and of all others that are alive.
+    std::vector<std::string> liveEntries() const;
     void logGroups();
     void setGroup(entry_heartbeat_message&, const runner_id&, const pool_id&) const;
     std::vector<entry_heartbeat_message::member> candidatesOf(const group_id&) const;
--- a/fleet/fleet_message.cpp
+++ b/fleet/fleet_message.cpp
@@ -3,6 +3,7 @@
 #include "expert_map/placement_delta_codec.h"
 #include "protocol/generated/fleet_generated.h"
 
+#include <cmath>
 #include <span>
 
 namespace sardinelb {
@@ -11,6 +12,9 @@
 
 namespace wire = fleet_wire;
 
+// Stands for the end of a runner's limit.
+constexpr double noLimit = -1;
+
 std::uint32_t milliseconds(duration time)
 {
     return static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
@@ -42,6 +46,14 @@
         return offsets;
     }
 
+    static std::vector<wire::runner_limit> createRunnerLimits(const std::vector<runner_limit_news>& limits)
+    {
+        std::vector<wire::runner_limit> all;
+        for (const runner_limit_news& news : limits)
+            all.emplace_back(news.runner.value(), news.requestsPerSecond.value_or(noLimit), milliseconds(news.age));
+        return all;
+    }
+
     void operator()(const entry_heartbeat_message& message) const
     {
         const member_offsets members = createMembers(message.members);
@@ -51,11 +63,12 @@
             groups.push_back(wire::Creategroup_candidatesDirect(builder, group.group.value().c_str(), &candidates));
         }
         const auto promptParts = createPromptParts(message.promptParts);
+        const auto runnerLimits = createRunnerLimits(message.runnerLimits);
         const auto body = wire::Createentry_beatDirect(builder, message.daemon.value().c_str(), message.configuration.value(),
             message.runnerList.value(), message.runnerDigest,
             milliseconds(message.runnerListAge), message.isStopping, message.group.value().c_str(), &members,
             message.expertsPerRank, message.newExpertsPerRank, static_cast<std::uint64_t>(message.expertCopyTime.count()), message.slots, &groups,
-            message.arrivalsPerSecond, &promptParts);
+            message.arrivalsPerSecond, &promptParts, &runnerLimits);
         finish(wire::datagram_body::entry_beat, body.Union());
     }
 
@@ -153,6 +166,17 @@
     return evidence;
 }
 
+runner_limit_news read(const wire::runner_limit& body)
+{
+    runner_limit_news news;
+    news.runner = runner_process_id(body.process());
+    const double limit = body.requests_per_second();
+    if (std::isfinite(limit) && limit >= 0)
+        news.requestsPerSecond = limit;
+    news.age = std::chrono::milliseconds(body.age_ms());
+    return news;
+}
+
 fleet_message read(const wire::entry_beat& body)
 {
     entry_heartbeat_message message;
@@ -173,6 +197,10 @@
     message.expertCopyTime = duration(body.expert_copy_us());
     message.slots = body.slots();
     message.arrivalsPerSecond = body.arrivals_per_second();
+    if (body.runner_limits()) {
+        for (const auto* limit : *body.runner_limits())
+            message.runnerLimits.push_back(read(*limit));
+    }
     if (body.prompt_parts()) {
         for (const auto* part : *body.prompt_parts())
             message.promptParts.push_back(read(*part));
--- a/fleet/request_relay.cpp
+++ b/fleet/request_relay.cpp
@@ -267,7 +267,7 @@
     m_isRelayingStream = false;
     m_hasReceivedEvent = false;
     m_hasAnswered = false;
-    m_context.runners().onAttemptStarted(runner);
+    m_context.runners().onAttemptStarted(runner, now);
     m_context.queueOf(m_pool).onDispatch(now);
     m_context.log().write("attempt", { { "request", m_request.attemptId }, { "runner", runner.value() }, { "load", static_cast<std::int64_t>(record->estimatedLoad(now)) }, { "own", static_cast<std::int64_t>(record->inFlight) }, { "waited_ms", milliseconds(now - m_arrivedAt) }, { "number", static_cast<std::int64_t>(m_triedRunners.size()) }, { "prompt_parts", describe(m_request.promptParts) }, { "configuration", static_cast<std::int64_t>(m_routes->configuration().version.value()) } });
     platform::attempt_headers fields { runner, m_holder ? m_holder->team : team_id {}, timeLeft(now), m_events.lastEventId() };
--- a/serving/runner_directory.cpp
+++ b/serving/runner_directory.cpp
@@ -1,5 +1,7 @@
 #include "serving/runner_directory.h"
 
+#include "serving/runner_followers.h"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -61,6 +63,7 @@
 {
     std::unordered_map<runner_id, runner_record> known;
     m_byPool.clear();
+    m_byProcess.clear();
     for (const listed_runner& listing : listings) {
         runner_record record;
         record.listedAt = now;
@@ -74,6 +77,7 @@
         record.listing = listing;
         record.isFollowed = !engineOf(listing.pool) || !m_followed || m_followed->contains(listing.address);
         m_byPool[listing.pool].push_back(listing.id);
+        m_byProcess[processOf(listing)] = listing.id;
         known.emplace(listing.id, std::move(record));
     }
     m_runners = std::move(known);
@@ -210,6 +214,8 @@
         return false;
     if (record.listing.isDraining || record.isReplaced || now < record.backoffUntil)
         return false;
+    if (record.limit.sendable(now) == 0U)
+        return false;
     return !record.load || record.load->isGroupOpen || now - record.load->at > maxBackoff;
 }
 
@@ -295,7 +301,7 @@
         const std::uint32_t limit = std::min(requestLimit(*record), 1000U);
         const std::uint32_t load = record->estimatedLoad(now);
         if (load < limit)
-            freeByGroup[record->group] += limit - load;
+            freeByGroup[record->group] += std::min(limit - load, record->limit.sendable(now).value_or(limit));
     }
     const auto groups = engine ? groupUse(pool, *engine, now) : std::unordered_map<group_id, group_use>();
     double total = 0;
@@ -320,13 +326,18 @@
         return 0;
     const bool hasEngine = engineOf(pool) != nullptr;
     const double seconds = serviceSeconds(pool);
-    double slots = 0;
+    double rate = 0;
     for (const runner_id& id : members->second) {
         const runner_record& record = m_runners.at(id);
         if (!record.listing.isDraining && !record.isReplaced)
-            slots += hasEngine ? limitPerRank(record, *engineOf(pool)) : record.listing.slots;
+            rate += limitedRate(record, (hasEngine ? limitPerRank(record, *engineOf(pool)) : record.listing.slots) / seconds);
     }
-    return slots / seconds;
+    return rate;
+}
+
+double runner_directory::limitedRate(const runner_record& record, double requestsPerSecond)
+{
+    return std::min(requestsPerSecond, record.limit.requestsPerSecond().value_or(requestsPerSecond));
 }
 
 double runner_directory::maxFreedSlotsPerSecond(const pool_id& pool) const
@@ -343,15 +354,18 @@
         if (record.listing.isDraining || record.isReplaced)
             continue;
         const double slowdown = stepMs(engine->slots) / std::max(stepMs(limitPerRank(record, *engine)), 1e-9);
-        rate += engine->slots / (seconds * slowdown);
+        rate += limitedRate(record, engine->slots / (seconds * slowdown));
     }
     return rate;
 }
 
-void runner_directory::onAttemptStarted(const runner_id& id)
+void runner_directory::onAttemptStarted(const runner_id& id, time_point now)
 {
-    if (runner_record* record = findRecord(id))
-        ++record->inFlight;
+    runner_record* record = findRecord(id);
+    if (!record)
+        return;
+    ++record->inFlight;
+    record->limit.onSent(now);
 }
 
 void runner_directory::onAttemptAbandoned(const runner_id& id)
@@ -404,13 +418,55 @@
     record->backoffUntil = now + std::min(initialBackoff * (1 << doubling), maxBackoff);
 }
 
-bool runner_directory::onNamedLimit(const runner_id& id, std::optional<double> requestsPerSecond)
+void runner_directory::setEntries(const std::string& self, std::vector<std::string> entries)
+{
+    m_self = self;
+    m_entries = std::move(entries);
+    for (auto& [id, record] : m_runners) {
+        if (record.limit.requestsPerSecond())
+            updateLimitPosition(record);
+    }
+}
+
+void runner_directory::updateLimitPosition(runner_record& record) const
+{
+    record.limit.setPosition(followerPosition(record.listing.address, m_self, m_entries), m_entries.size());
+}
+
+bool runner_directory::onNamedLimit(const runner_id& id, std::optional<double> requestsPerSecond, time_point now)
 {
     runner_record* record = findRecord(id);
-    if (!record || record->namedLimit == requestsPerSecond)
+    if (!record)
         return false;
-    record->namedLimit = requestsPerSecond;
-    return true;
+    const bool isChanged = record->limit.requestsPerSecond() != requestsPerSecond;
+    record->limit.onAnswer(requestsPerSecond, now);
+    if (isChanged)
+        updateLimitPosition(*record);
+    return isChanged;
+}
+
+bool runner_directory::onLimitNews(const runner_limit_news& news, time_point now)
+{
+    const auto known = m_byProcess.find(news.runner);
+    if (known == m_byProcess.end())
+        return false;
+    runner_record& record = m_runners.at(known->second);
+    const std::optional<double> before = record.limit.requestsPerSecond();
+    record.limit.onNews(news, now);
+    const bool isChanged = record.limit.requestsPerSecond() != before;
+    if (isChanged)
+        updateLimitPosition(record);
+    return isChanged;
+}
+
+std::vector<runner_limit_news> runner_directory::limitNews(time_point now) const
+{
+    std::vector<runner_limit_news> all;
+    for (const auto& [process, id] : m_byProcess) {
+        if (const auto news = m_runners.at(id).limit.news(process, now))
+            all.push_back(*news);
+    }
+    return all;
 }
 
 void runner_directory::onFirstEvent(const runner_id& id, duration sinceSent)
--- a/serving/runner_directory.h
+++ b/serving/runner_directory.h
@@ -65,7 +65,7 @@
     // While set, the runners of the pool run requests in all their slots, whatever that does to the gaps of their streams.
     void setClearingBacklog(const pool_id&, bool isClearing);
 
-    void onAttemptStarted(const runner_id&);
+    void onAttemptStarted(const runner_id&, time_point now);
 
     // End an attempt counted by onAttemptStarted(). `responseTime` is the time from sending the request to the end of the
     // response.
@@ -74,9 +74,18 @@
     // Ends an attempt that says nothing about the runner's health, such as when the caller left.
     void onAttemptAbandoned(const runner_id&);
 
+    // Sets the addresses of all live entries, which share the limits that runners name.
+    void setEntries(const std::string& self, std::vector<std::string> entries);
+
     // Records the limit that a runner names in an answer to this entry, in requests a second from all entries together, or that it names
-    // none. Returns whether this is news.
-    bool onNamedLimit(const runner_id&, std::optional<double> requestsPerSecond);
+    // none. Returns whether the limit has changed.
+    bool onNamedLimit(const runner_id&, std::optional<double> requestsPerSecond, time_point now);
+
+    // The same for an answer to another entry. Ignored for a process that is not listed.
+    bool onLimitNews(const runner_limit_news&, time_point now);
+
+    // The limits that runners have named in answers to this entry, for the other entries.
+    std::vector<runner_limit_news> limitNews(time_point now) const;
 
     // Records the time from sending a request to the first event of its stream.
     void onFirstEvent(const runner_id&, duration sinceSent);
@@ -133,6 +142,9 @@
     const engine_profile* engineOf(const pool_id&) const;
     double score(const runner_record&, time_point now) const;
     runner_record* findRecord(const runner_id&);
+    void updateLimitPosition(runner_record&) const;
+    // Rate at which a runner takes requests that would take `requestsPerSecond` without a limit.
+    static double limitedRate(const runner_record&, double requestsPerSecond);
 
     random_source m_random;
     std::size_t m_entryCount = 1;
@@ -141,6 +153,10 @@
     std::optional<std::unordered_set<std::string>> m_followed;
     std::unordered_map<runner_id, runner_record> m_runners;
     std::unordered_map<pool_id, std::vector<runner_id>> m_byPool;
+    std::unordered_map<runner_process_id, runner_id> m_byProcess;
+    // Addresses of this entry and of all live entries. Without them this entry is taken for the only one.
+    std::string m_self;
+    std::vector<std::string> m_entries;
     // Also contains the pools without an engine.
     std::unordered_map<pool_id, std::optional<engine_profile>> m_engines;
     std::unordered_map<group_id, group_limit> m_groups;
--- a/serving/runner_followers.cpp
+++ b/serving/runner_followers.cpp
@@ -42,6 +42,14 @@
     return std::min(entries, std::max(minFollowers, share));
 }
 
+std::size_t followerPosition(const std::string& runner, const std::string& self, const std::vector<std::string>& entries)
+{
+    const std::uint64_t runnerHash = hashOf(runner);
+    const std::uint64_t own = combined(runnerHash, hashOf(self));
+    const auto isAhead = [&](const std::string& entry) { return entry != self && combined(runnerHash, hashOf(entry)) > own; };
+    return static_cast<std::size_t>(std::count_if(entries.begin(), entries.end(), isAhead));
+}
+
 std::unordered_set<std::string> followedRunners(const std::vector<std::string>& runners, const std::string& self, const std::vector<std::string>& entries)
 {
     const std::size_t followers = followersPerRunner(runners.size(), entries.size());
--- a/serving/runner_followers.h
+++ b/serving/runner_followers.h
@@ -15,6 +15,9 @@
 // assignments change when an entry comes or goes. `entries` are the addresses of all live entries, including `self`.
 std::unordered_set<std::string> followedRunners(const std::vector<std::string>& runners, const std::string& self, const std::vector<std::string>& entries);
 
+// Position of an entry, from 0, in an order of all entries that differs from runner to runner. The followers come first.
+std::size_t followerPosition(const std::string& runner, const std::string& self, const std::vector<std::string>& entries);
+
 // Number of entries that follow each runner.
 std::size_t followersPerRunner(std::size_t runners, std::size_t entries);
 
--- /dev/null
+++ b/serving/runner_limit.cpp
@@ -0,0 +1,103 @@
+#include "serving/runner_limit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sardinelb {
+
+namespace {
+
+// An entry that uses a limited runner sends it at least this many requests a second, so that it learns when the limit ends.
+constexpr double minRequestsPerSecond = 0.1;
+
+// What an entry may send in this time, or a single request, is the most that it saves up.
+constexpr duration savedTime = std::chrono::milliseconds(100);
+
+// Without news from another entry, a limit that was heard of is forgotten after this time. Heartbeats come twice a second.
+constexpr duration newsTimeout = std::chrono::seconds(5);
+
+// The end of a limit is told for this long, in case heartbeats are lost.
+constexpr duration endToldFor = std::chrono::seconds(20);
+
+}
+
+void runner_limit::onAnswer(std::optional<double> requestsPerSecond, time_point now)
+{
+    apply(requestsPerSecond, now, now);
+    m_isOwnAnswer = true;
+}
+
+void runner_limit::onNews(const runner_limit_news& news, time_point now)
+{
+    if (news.requestsPerSecond)
+        m_limitedAt = now;
+    const time_point answeredAt = now - news.age;
+    if (m_answeredAt && answeredAt < *m_answeredAt)
+        return;
+    apply(news.requestsPerSecond, answeredAt, now);
+    m_isOwnAnswer = false;
+}
+
+void runner_limit::apply(std::optional<double> requestsPerSecond, time_point answeredAt, time_point now)
+{
+    m_tokens = m_limit ? tokensAt(now) : 0;
+    m_tokensAt = now;
+    if (m_limit || requestsPerSecond)
+        m_limitedAt = now;
+    m_limit = requestsPerSecond;
+    m_answeredAt = answeredAt;
+    m_heardAt = now;
+}
+
+void runner_limit::setPosition(std::size_t position, std::size_t entryCount)
+{
+    m_position = position;
+    m_entryCount = std::max<std::size_t>(entryCount, 1);
+}
+
+double runner_limit::ownRate() const
+{
+    const double limit = std::max(*m_limit, minRequestsPerSecond);
+    const double users = std::clamp(std::floor(limit), 1.0, static_cast<double>(m_entryCount));
+    return static_cast<double>(m_position) < users ? limit / users : 0;
+}
+
+double runner_limit::tokensAt(time_point now) const
+{
+    const double seconds = std::chrono::duration<double>(now - m_tokensAt).count();
+    const double rate = ownRate();
+    const double most = std::max(1.0, rate * std::chrono::duration<double>(savedTime).count());
+    return std::min(most, m_tokens + seconds * rate);
+}
+
+bool runner_limit::isInForce(time_point now) const
+{
+    const bool isForgotten = !m_isOwnAnswer && now - m_heardAt > newsTimeout;
+    return m_limit && !isForgotten;
+}
+
+std::optional<std::uint32_t> runner_limit::sendable(time_point now) const
+{
+    if (!isInForce(now))
+        return std::nullopt;
+    return static_cast<std::uint32_t>(std::max(0.0, tokensAt(now)));
+}
+
+void runner_limit::onSent(time_point now)
+{
+    if (!m_limit)
+        return;
+    m_tokens = tokensAt(now) - 1;
+    m_tokensAt = now;
+}
+
+std::optional<runner_limit_news> runner_limit::news(const runner_process_id& runner, time_point now) const
+{
+    // The end of a limit interests only those that may still keep to it.
+    const bool isOfInterest = m_limit || (m_limitedAt && now - *m_limitedAt <= endToldFor);
+    if (!m_answeredAt || !m_isOwnAnswer || !isOfInterest)
+        return std::nullopt;
+    return runner_limit_news { runner, m_limit, now - *m_answeredAt };
+}
+
+}
--- a/serving/runner_record.h
+++ b/serving/runner_record.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "serving/listed_runner.h"
+#include "serving/runner_limit.h"
 #include "state/ids.h"
 #include "state/time.h"
 
@@ -33,8 +34,8 @@
     std::optional<load_sample> load;
     group_id group;
     rank_id rank;
-    // Limit that the runner named in its last answer to this entry, in requests a second.
-    std::optional<double> namedLimit;
+    // What the runner takes from all entries, and this entry's part.
+    runner_limit limit;
     // Moving average of the fraction of attempts that failed.
     double failureRate = 0;
     // Moving average of the response time of a runner without an engine profile. 0 before the first response.
--- a/tests/fleet/fleet_message_test.cpp
+++ b/tests/fleet/fleet_message_test.cpp
@@ -54,9 +54,15 @@
     heartbeat.members = { { rank_id(1), "10.0.0.1:80", std::chrono::milliseconds(70) } };
     heartbeat.groups = { { group_id("g0-1"), heartbeat.members } };
     heartbeat.promptParts = { { pool_id("p"), prompt_part_id(66), 1, { { runner_process_id(5), std::chrono::milliseconds(40) } }, std::chrono::seconds(2), std::chrono::seconds(60), 3 } };
+    heartbeat.runnerLimits = { { runner_process_id(5), 2.2, std::chrono::milliseconds(30) }, { runner_process_id(6), std::nullopt, {} } };
     const auto decoded = decode(encode(heartbeat));
     ASSERT_TRUE(decoded);
     const auto& message = std::get<entry_heartbeat_message>(*decoded);
+    ASSERT_EQ(message.runnerLimits.size(), 2U);
+    EXPECT_EQ(message.runnerLimits[0].runner, runner_process_id(5));
+    EXPECT_EQ(message.runnerLimits[0].requestsPerSecond, 2.2);
+    EXPECT_EQ(message.runnerLimits[0].age, std::chrono::milliseconds(30));
+    EXPECT_FALSE(message.runnerLimits[1].requestsPerSecond);
     ASSERT_EQ(message.promptParts.size(), 1U);
     const prompt_part_evidence& told = message.promptParts.front();
     EXPECT_EQ(told.pool, pool_id("p"));
--- a/tests/fleet/load_patterns_test.cpp
+++ b/tests/fleet/load_patterns_test.cpp
@@ -238,7 +238,7 @@
     for (int i = 0; i < 20; ++i) {
         const runner_id chosen = *directory.choose(m_pool, {}, at(milliseconds(1)));
         EXPECT_NE(chosen, runner_id("r3"));
-        directory.onAttemptStarted(chosen);
+        directory.onAttemptStarted(chosen, at(milliseconds(1)));
     }
 }
 
@@ -287,7 +287,7 @@
     for (int i = 0; i < 300; ++i) {
         const time_point now = at(milliseconds(i * 20));
         const runner_id chosen = *directory.choose(m_pool, {}, now);
-        directory.onAttemptStarted(chosen);
+        directory.onAttemptStarted(chosen, now);
         if (chosen == failing && ++requestsToFailing % 2 == 0)
             directory.onAttemptFailed(chosen, attempt_failure::ServerError, now);
         else
@@ -319,7 +319,7 @@
     report.isGroupOpen = false;
     directory.onLoadReport(report, at(milliseconds(0)));
     for (int i = 0; i < 6; ++i) {
-        directory.onAttemptStarted(runner_id("r0"));
+        directory.onAttemptStarted(runner_id("r0"), at(milliseconds(i)));
         directory.onAttemptFailed(runner_id("r0"), attempt_failure::NotConnected, at(milliseconds(i)));
     }
     EXPECT_FALSE(directory.choose(m_pool, {}, at(milliseconds(100))));
