--- a/fleet/request_relay.cpp
+++ b/fleet/request_relay.cpp
@@ -395,12 +395,18 @@
 {
     if (result == runner_exchange::result::NotConnected)
         onAttemptFailed(attempt_failure::NotConnected, "connection to runner failed");
-    else if (result == runner_exchange::result::Broken || (m_isRelayingStream && m_events.hasPartialEvent()))
+    else if (result == runner_exchange::result::Broken || hasStreamEndedEarly())
         onAttemptFailed(attempt_failure::OutcomeUnknown, "response ended early or is malformed");
     else
         onResponseComplete();
 }
 
+bool request_relay::hasStreamEndedEarly() const
+{
+    // A response without a length or chunks also ends when its runner does.
+    return m_isRelayingStream && (m_events.hasPartialEvent() || m_events.eventCount() == 0);
+}
+
 void request_relay::onResponseComplete()
 {
     const bool canRetry = m_route->retrySemantics == retry_semantics::Idempotent && m_head->status >= firstServerErrorStatus;
--- a/fleet/request_relay.h
+++ b/fleet/request_relay.h
@@ -57,6 +57,8 @@
     void onBody(std::string_view);
     void onEvents(std::string_view);
     void onExchangeEnd(runner_exchange::result);
+    // Whether the stream of a response that is complete by its framing ended inside an event or before the first one.
+    bool hasStreamEndedEarly() const;
     void onResponseComplete();
     void onAttemptFailed(attempt_failure, const char* why);
     // Whether an attempt that failed may have ended its runner, or lost it before its answer began.
--- /dev/null
+++ b/tests/fleet/entry_unframed_test.cpp
@@ -0,0 +1,82 @@
+#include "tests/fleet/entry_fixture.h"
+#include "tests/support/scripted_server.h"
+
+#include <thread>
+#include <utility>
+
+namespace sardinelb::test {
+
+using std::chrono::milliseconds;
+
+// Runners whose answers have neither a length nor chunks and end with their connection.
+class entry_unframed : public entry_fixture {
+protected:
+    // A runner that answers its first request with `body` and then closes the connection, or resets it. Closes later connections at once.
+    std::unique_ptr<scripted_server> startRunner(const std::string& id, const std::string& body, bool isReset = false)
+    {
+        auto runner = std::make_unique<scripted_server>([body, isReset, isFirst = true](raw_connection& connection) mutable {
+            if (!std::exchange(isFirst, false))
+                return;
+            connection.receiveUntil("\r\n\r\n");
+            connection.send("HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Seal: s.1\r\nConnection: close\r\n\r\n" + body);
+            std::this_thread::sleep_for(milliseconds(50));
+            if (isReset)
+                connection.reset();
+        });
+        m_rows[id] = R"({"service":"plain","address":"127.0.0.1:)" + std::to_string(runner->port()) + R"(","zone":"z","version":"v1","slots":6,"state":"ready","seq":1,"born":1000})";
+        return runner;
+    }
+
+    void start()
+    {
+        startStore();
+        startEntry();
+    }
+};
+
+TEST_F(entry_unframed, plainAnswer_connectionCloses_forwardedWhole)
+{
+    const auto runner = startRunner("r1", "all of it");
+    start();
+    const caller_result result = call(request("GET", "/look/x"));
+    EXPECT_EQ(result.status, 200);
+    EXPECT_EQ(result.body, "all of it");
+    EXPECT_EQ(result.exchangeResult, runner_exchange::result::Complete);
+}
+
+// Guards against presenting an answer as complete whose connection was reset.
+TEST_F(entry_unframed, plainAnswer_connectionReset_unknownOutcome)
+{
+    const auto runner = startRunner("r1", "half of", true);
+    start();
+    EXPECT_EQ(call(request("GET", "/open/x")).status, 502);
+}
+
+TEST_F(entry_unframed, stream_connectionClosesAfterAnEvent_forwardedWhole)
+{
+    const auto runner = startRunner("r1", "id: 1\ndata: x\n\nid: 2\ndata: y\n\n");
+    start();
+    const caller_result result = call(request("POST", "/write/x"));
+    EXPECT_EQ(result.body, "id: 1\ndata: x\n\nid: 2\ndata: y\n\n");
+    EXPECT_EQ(result.exchangeResult, runner_exchange::result::Complete);
+}
+
+// Guards against presenting a stream as complete that ended inside an event.
+TEST_F(entry_unframed, stream_connectionClosesInsideAnEvent_notComplete)
+{
+    const auto runner = startRunner("r1", "id: 1\ndata: x\n\nid: 2\nda");
+    start();
+    const caller_result result = call(request("POST", "/write/x"));
+    EXPECT_EQ(result.body, "id: 1\ndata: x\n\n");
+    EXPECT_EQ(result.exchangeResult, runner_exchange::result::Broken);
+}
+
+// Guards against presenting a stream as complete whose runner ended before the first event.
+TEST_F(entry_unframed, stream_connectionClosesBeforeTheFirstEvent_notComplete)
+{
+    const auto runner = startRunner("r1", "");
+    start();
+    EXPECT_EQ(call(request("POST", "/write/x")).exchangeResult, runner_exchange::result::Broken);
+}
+
+}
--- a/tests/support/raw_connection.h
+++ b/tests/support/raw_connection.h
@@ -96,6 +96,14 @@
         return std::exchange(m_received, {});
     }
 
+    // Closes the connection so that the peer sees a reset.
+    void reset()
+    {
+        const linger discard { 1, 0 };
+        setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
+        close();
+    }
+
     void shutdownSend() const { shutdown(m_descriptor, SHUT_WR); }
 
     void close()
