--- a/coordination/entry/entry_core.cpp
+++ b/coordination/entry/entry_core.cpp
@@ -424,6 +424,8 @@
 {
     if (outcome != execution_outcome::NotRun)
         state.mayHaveRun = true;
+    if (outcome != execution_outcome::NotRun && state.tokensReceived == 0)
+        ++state.failuresBeforeAnswer;
     if (state.stage == request_stage::Detached || state.callerDisconnected) {
         settleReservation(state, now);
         recordOutcome(state, knownExecution(state), httpStatusUnknown, now);
@@ -435,7 +437,7 @@
         return;
     }
     const failed_attempt failed { currentAttempt(state), state.request.team, state.request.idempotent, outcome,
-        refusal, state.answerBy };
+        refusal, state.failuresBeforeAnswer, state.answerBy };
     const retry_decision decision = m_retries.decide(failed, now);
     log("retry", state.request.id,
         describeAttempt(state) + " ended: " + detail + "; decision: " + toString(decision.verdict) + ".");
--- a/coordination/entry/failed_attempt.h
+++ b/coordination/entry/failed_attempt.h
@@ -6,6 +6,8 @@
 #include "state/ids.h"
 #include "state/time.h"
 
+#include <cstdint>
+
 namespace sardinelb {
 
 // What is known about an attempt that ended without a complete answer.
@@ -16,6 +18,8 @@
     execution_outcome outcome = execution_outcome::Unknown;
     // Set when the agent refused the attempt.
     refusal_reason refusal = refusal_reason::None;
+    // Attempts of the request, including this one, that failed before their answer began although the runner may have run them.
+    std::uint32_t failuresBeforeAnswer = 0;
     // When the answer is due.
     time_point answerBy;
 };
--- a/coordination/entry/request_state.h
+++ b/coordination/entry/request_state.h
@@ -29,6 +29,8 @@
     std::uint32_t tokensReceived = 0;
     std::string body;
     bool mayHaveRun = false;
+    // Attempts that failed before their answer began although the runner may have run them.
+    std::uint32_t failuresBeforeAnswer = 0;
     bool callerDisconnected = false;
     // Whether the request holds the claim of its idempotency key.
     bool holdsClaim = false;
--- a/coordination/entry/retry_policy.cpp
+++ b/coordination/entry/retry_policy.cpp
@@ -13,6 +13,8 @@
 
 // Attempts of one request, including the first.
 constexpr std::uint32_t maxAttempts = 4;
+// A request that has failed so often before its answer began may be what ends its runners.
+constexpr std::uint32_t maxFailuresBeforeAnswer = 2;
 // A team that sends only occasional requests may retry one of them. The bound covers the retries of a busy team after
 // the death of one runner, and is soon exhausted when all runners fail.
 constexpr double initialTeamBudget = 1;
@@ -133,7 +135,7 @@
 {
     if (!isSafeToRetry(failed))
         return { retry_verdict::NotSafe, {} };
-    if (failed.attempt.number >= maxAttempts)
+    if (failed.attempt.number >= maxAttempts || failed.failuresBeforeAnswer >= maxFailuresBeforeAnswer)
         return { retry_verdict::TooMany, {} };
     const duration timeLeft = failed.answerBy - now;
     if (timeLeft < minAttemptTime)
--- a/tests/correctness/retry_policy_test.cpp
+++ b/tests/correctness/retry_policy_test.cpp
@@ -41,6 +41,22 @@
 
 }
 
+// Guards against sending a request that ends each runner that begins to answer it to one runner after the other.
+TEST(RetryPolicy, RequestThatFailedTwiceBeforeItsAnswerBeganIsNotRetried)
+{
+    const auto verdictOf = [](std::uint32_t attempt, std::uint32_t failuresBeforeAnswer) {
+        failed_attempt failed = failure(execution_outcome::Failed);
+        failed.idempotent = true;
+        failed.attempt.number = attempt;
+        failed.failuresBeforeAnswer = failuresBeforeAnswer;
+        return retry_policy(1).decide(failed, {}).verdict;
+    };
+    EXPECT_EQ(verdictOf(1, 1), retry_verdict::Retry);
+    EXPECT_EQ(verdictOf(2, 2), retry_verdict::TooMany);
+    // Attempts that did not run say nothing about the request.
+    EXPECT_EQ(verdictOf(3, 1), retry_verdict::Retry);
+}
+
 // Guards against running a request twice that must run at most once.
 TEST(RetryPolicy, OfWorkThatMayHaveRunRetriesOnlyIdempotentWork)
 {
