--- a/fleet/entry_context.h
+++ b/fleet/entry_context.h
@@ -103,6 +103,9 @@
 
     std::size_t activeRequests = 0;
 
+    // Bytes of responses that are held until their end, or until that of an event.
+    std::size_t bufferedResponseBytes = 0;
+
 private:
     void scheduleDispatch();
     void onRunnerCrash(const runner_crash&);
--- a/fleet/request_relay.cpp
+++ b/fleet/request_relay.cpp
@@ -28,6 +28,12 @@
 constexpr std::size_t maxBacklogBytes = 262144;
 constexpr std::chrono::milliseconds backlogCheckInterval { 20 };
 
+// Most that is buffered of a response: of one that is no stream, of one event of a stream, and of all responses together. A runner in
+// trouble may send bytes without end.
+constexpr std::size_t maxBodyBytes = 8388608;
+constexpr std::size_t maxEventBytes = 1048576;
+constexpr std::size_t maxBufferedResponseBytes = 33554432;
+
 // The latest start of a queued request reserves this multiple of the usual time to the first part of a response.
 constexpr double timeToFirstByteMarginFactor = 1.5;
 
@@ -74,6 +80,7 @@
 
 request_relay::~request_relay()
 {
+    m_context.bufferedResponseBytes -= m_bufferedBytes;
     --m_context.activeRequests;
 }
 
@@ -330,6 +337,18 @@
         onEvents(part);
     else
         m_body += part;
+    if (!updateBufferedBytes())
+        onAttemptFailed(attempt_failure::OutcomeUnknown, "response is too long to buffer");
+}
+
+bool request_relay::updateBufferedBytes()
+{
+    const std::size_t bytes = m_body.size() + m_events.pendingBytes();
+    std::size_t& total = m_context.bufferedResponseBytes;
+    const bool isGrowing = bytes > m_bufferedBytes;
+    total += bytes - m_bufferedBytes;
+    m_bufferedBytes = bytes;
+    return bytes <= (m_isRelayingStream ? maxEventBytes : maxBodyBytes) && (!isGrowing || total <= maxBufferedResponseBytes);
 }
 
 void request_relay::onEvents(std::string_view part)
@@ -438,6 +457,8 @@
 void request_relay::onAttemptFailed(attempt_failure failure, const char* why)
 {
     cancelExchange();
+    if (failure == attempt_failure::OutcomeUnknown)
+        dropResponse();
     const runner_record* record = m_context.runners().find(m_runner);
     const bool isCrashPossible = record && mayRunnerHaveCrashed(failure);
     if (isCrashPossible) {
@@ -452,6 +473,14 @@
         retryOrFail(failure, why, false);
 }
 
+void request_relay::dropResponse()
+{
+    m_body.clear();
+    m_body.shrink_to_fit();
+    m_events.dropPartialEvent();
+    updateBufferedBytes();
+}
+
 bool request_relay::mayRunnerHaveCrashed(attempt_failure failure) const
 {
     return failure == attempt_failure::OutcomeUnknown && !m_hasAnswered && !m_request.promptParts.empty();
--- a/fleet/request_relay.h
+++ b/fleet/request_relay.h
@@ -57,10 +57,14 @@
     void onBody(std::string_view);
     void onEvents(std::string_view);
     void onExchangeEnd(runner_exchange::result);
+    // Counts the buffered part of the response. Returns false if it is too long to buffer.
+    bool updateBufferedBytes();
     // Whether the stream of a response that is complete by its framing ended inside an event or before the first one.
     bool hasStreamEndedEarly() const;
     void onResponseComplete();
     void onAttemptFailed(attempt_failure, const char* why);
+    // Frees what is buffered of a response that is not forwarded.
+    void dropResponse();
     // Whether an attempt that failed may have ended its runner, or lost it before its answer began.
     bool mayRunnerHaveCrashed(attempt_failure) const;
     void retryOrFail(attempt_failure, const char* why, bool hasRunnerCrashed);
@@ -100,6 +104,8 @@
     time_point m_sentAt;
     std::optional<runner_response_head> m_head;
     std::string m_body;
+    // Bytes of the response that are counted in entry_context::bufferedResponseBytes.
+    std::size_t m_bufferedBytes = 0;
     bool m_isRelayingStream = false;
     // Whether the current attempt has produced an event.
     bool m_hasReceivedEvent = false;
--- a/serving/event_splitter.h
+++ b/serving/event_splitter.h
@@ -26,8 +26,10 @@
     // Whether an incomplete event is buffered.
     bool hasPartialEvent() const { return !m_pending.empty(); }
 
+    std::size_t pendingBytes() const { return m_pending.size(); }
+
     // Discards an incomplete event, before the stream resumes on another runner.
-    void dropPartialEvent() { m_pending.clear(); }
+    void dropPartialEvent() { m_pending = {}; }
 
 private:
     void recordEvent(std::string_view event);
