--- a/fleet/entry_context.cpp
+++ b/fleet/entry_context.cpp
@@ -1,17 +1,13 @@
 #include "fleet/entry_context.h"
 
 #include "fleet/event_log.h"
-#include "fleet/process_metrics.h"
 #include "fleet/request_relay.h"
 #include "fleet/steady_time.h"
 #include "serving/backlog.h"
-#include "serving/prompt_parts.h"
 #include "serving/retry_delay.h"
 #include "serving/route_index.h"
 #include "serving/serving_configuration.h"
 
-#include <boost/asio/post.hpp>
-
 namespace sardinelb {
 
 namespace {
@@ -28,8 +24,7 @@
     , m_metrics(metrics)
     , m_random(std::random_device {}())
     , m_runners([this] { return std::uniform_real_distribution<double>()(m_random); })
-    , m_crashDetector(m_executor, { [this](const runner_crash& crash) { onRunnerCrash(crash); } })
-    , m_promptQuarantine([this] { return std::uniform_real_distribution<double>()(m_random); })
+    , m_promptGuard(m_executor, log, metrics, [this] { return std::uniform_real_distribution<double>()(m_random); })
     , m_startedAt(steadyNow())
     , m_dispatchTimer(m_executor)
 {
@@ -140,46 +135,6 @@
     }
 }
 
-void entry_context::onRunnerCrash(const runner_crash& crash)
-{
-    m_log.write("runner_crashed", { { "runner", crash.runner.value() }, { "pool", crash.pool.value() }, { "prompt_parts", describe(crash.promptParts) } });
-    m_metrics.count("runner_crashed");
-    m_promptQuarantine.onCrash(crash, steadyNow());
-    applyQuarantines();
-    scheduleEvidence();
-}
-
-void entry_context::scheduleEvidence()
-{
-    // One crash concerns many requests, which are told of together.
-    if (m_isEvidenceScheduled || !m_onEvidence)
-        return;
-    m_isEvidenceScheduled = true;
-    boost::asio::post(m_executor, [this] {
-        m_isEvidenceScheduled = false;
-        m_onEvidence();
-    });
-}
-
-void entry_context::applyQuarantines()
-{
-    const auto quarantined = m_promptQuarantine.takeQuarantined(steadyNow());
-    for (const auto& [part, isAdopted] : quarantined) {
-        m_log.write("prompt_part_quarantined", { { "pool", part.pool.value() }, { "prompt_part", describe({ part.part }) }, { "crashes", static_cast<std::int64_t>(part.crashes.size()) }, { "for_ms", std::chrono::duration_cast<std::chrono::milliseconds>(part.quarantineLeft).count() }, { "adopted", isAdopted } });
-        m_metrics.count("prompt_part_quarantined");
-        if (!isAdopted && m_onQuarantine)
-            m_onQuarantine(part);
-    }
-    if (quarantined.empty())
-        return;
-    // Requests that end remove themselves.
-    const auto requests = m_promptRequests;
-    for (const auto& [address, request] : requests) {
-        if (const auto relay = request.lock())
-            relay->onQuarantine();
-    }
-}
-
 void entry_context::onNamedLimit(const runner_id& runner, std::optional<double> requestsPerSecond)
 {
     if (m_runners.onNamedLimit(runner, requestsPerSecond, steadyNow()))
@@ -194,34 +149,6 @@
     }
 }
 
-void entry_context::onAnswer(const pool_id& pool, const std::vector<prompt_part_id>& parts)
-{
-    m_promptQuarantine.onAnswer(pool, parts, steadyNow());
-    applyQuarantines();
-}
-
-void entry_context::onAttemptSent(const pool_id& pool, const std::vector<prompt_part_id>& parts)
-{
-    m_promptQuarantine.onSent(pool, parts, steadyNow());
-}
-
-void entry_context::onPromptEvidence(const std::vector<prompt_part_evidence>& parts)
-{
-    for (const prompt_part_evidence& part : parts)
-        m_promptQuarantine.onEvidence(part, steadyNow());
-    applyQuarantines();
-}
-
-void entry_context::addPromptRequest(request_relay* address, std::weak_ptr<request_relay> relay)
-{
-    m_promptRequests.emplace(address, std::move(relay));
-}
-
-void entry_context::removePromptRequest(request_relay* address)
-{
-    m_promptRequests.erase(address);
-}
-
 void entry_context::updateBacklog(const pool_id& pool, const admission_queue& queue, time_point now)
 {
     const std::size_t late = queue.lateCount(now);
--- a/fleet/entry_context.h
+++ b/fleet/entry_context.h
@@ -1,16 +1,14 @@
 #pragma once
 
-#include "fleet/crash_detector.h"
+#include "fleet/prompt_guard.h"
 #include "platform/settings.h"
 #include "serving/admission_queue.h"
 #include "serving/demand_share.h"
-#include "serving/prompt_quarantine.h"
 #include "serving/retry_budget_share.h"
 #include "serving/runner_directory.h"
 #include "state/ids.h"
 
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -77,30 +75,14 @@
 
     demand_share& demand() { return m_demand; }
 
-    crash_detector& crashDetector() { return m_crashDetector; }
-
-    // Prompt parts that crash runners.
-    const prompt_quarantine& promptQuarantine() const { return m_promptQuarantine; }
-    void onAnswer(const pool_id&, const std::vector<prompt_part_id>&);
-    void onAttemptSent(const pool_id&, const std::vector<prompt_part_id>&);
-    // Evidence of another entry.
-    void onPromptEvidence(const std::vector<prompt_part_evidence>&);
+    // Keeps prompt parts that crash runners away from them.
+    prompt_guard& promptGuard() { return m_promptGuard; }
 
     // A runner named a limit in an answer, or none.
     void onNamedLimit(const runner_id&, std::optional<double> requestsPerSecond);
     // Limits that runners named in answers to another entry.
     void onLimitNews(const std::vector<runner_limit_news>&);
 
-    // Called when this entry has evidence that the others should get at once.
-    void setEvidenceHandler(std::function<void()> handler) { m_onEvidence = std::move(handler); }
-
-    // Called when this entry has quarantined a prompt part.
-    void setQuarantineHandler(std::function<void(const prompt_part_evidence&)> handler) { m_onQuarantine = std::move(handler); }
-
-    // Requests with prompts register until they end, so that they are ended when a part of theirs is quarantined.
-    void addPromptRequest(request_relay*, std::weak_ptr<request_relay>);
-    void removePromptRequest(request_relay*);
-
     std::size_t activeRequests = 0;
 
     // Bytes of responses that are held until their end, or until that of an event.
@@ -108,10 +90,6 @@
 
 private:
     void scheduleDispatch();
-    void onRunnerCrash(const runner_crash&);
-    // Logs new quarantines and ends the requests that they concern.
-    void applyQuarantines();
-    void scheduleEvidence();
     // Decides whether the runners of the pool should work off late requests in all their slots.
     void updateBacklog(const pool_id&, const admission_queue&, time_point now);
 
@@ -123,12 +101,7 @@
     std::shared_ptr<const route_index> m_routes;
     runner_directory m_runners;
     demand_share m_demand;
-    crash_detector m_crashDetector;
-    prompt_quarantine m_promptQuarantine;
-    std::function<void()> m_onEvidence;
-    std::function<void(const prompt_part_evidence&)> m_onQuarantine;
-    bool m_isEvidenceScheduled = false;
-    std::unordered_map<request_relay*, std::weak_ptr<request_relay>> m_promptRequests;
+    prompt_guard m_promptGuard;
     std::map<pool_id, admission_queue> m_queues;
     std::unordered_map<std::uint64_t, std::weak_ptr<request_relay>> m_waiting;
     std::unordered_map<pool_id, retry_budget_share> m_retryBudgets;
--- a/fleet/entry_peers.cpp
+++ b/fleet/entry_peers.cpp
@@ -58,7 +58,7 @@
     m_socket = std::make_shared<udp_socket>(m_context.get_executor(), [this](std::string_view bytes, const udp::endpoint& from) { onDatagram(bytes, from); });
     if (!m_socket->open(m_settings.ip, m_settings.firstPeerPort + entryDatagramPortOffset, problem))
         return false;
-    m_entry.setEvidenceHandler([this] { sendVersions(); });
+    m_entry.promptGuard().setEvidenceHandler([this] { sendVersions(); });
     tick();
     return true;
 }
@@ -154,7 +154,7 @@
     heartbeat.arrivalsPerSecond = static_cast<float>(m_arrivalsPerSecond);
     heartbeat.groups = directCandidates();
     heartbeat.runnerLimits = m_entry.runners().limitNews(steadyNow());
-    heartbeat.promptParts = m_entry.promptQuarantine().evidence(steadyNow());
+    heartbeat.promptParts = m_entry.promptGuard().evidence();
     const std::string bytes = encode(heartbeat);
     for (const auto& [ip, at] : m_entries) {
         if (const auto to = udpEndpoint(ip + ":0", m_settings.firstPeerPort + entryDatagramPortOffset))
@@ -263,7 +263,7 @@
 void entry_peers::onHeartbeat(const entry_heartbeat_message& heartbeat, const std::string& ip)
 {
     // An entry that stops still serves, and may be the only one that knows.
-    m_entry.onPromptEvidence(heartbeat.promptParts);
+    m_entry.promptGuard().onEvidence(heartbeat.promptParts);
     m_entry.onLimitNews(heartbeat.runnerLimits);
     if (heartbeat.isStopping) {
         m_entries.erase(ip);
--- a/fleet/entry_process.cpp
+++ b/fleet/entry_process.cpp
@@ -67,7 +67,7 @@
         , store(io.get_executor(), options.storeAddress)
         , entry(io.get_executor(), options, log, metrics)
         , peers(io, options, entry, log, entry_peers::hooks { [this] { return localVersions(); }, [this](const std::string& ip, const entry_peers::known_versions& versions) { onPeerVersions(ip, versions); } })
-        , quarantines(io.get_executor(), store, log, [this](const std::vector<prompt_part_evidence>& parts) { entry.onPromptEvidence(parts); })
+        , quarantines(io.get_executor(), store, log, [this](const std::vector<prompt_part_evidence>& parts) { entry.promptGuard().onEvidence(parts); })
         , listingTimer(io)
         , stopTimer(io)
     {
@@ -138,7 +138,7 @@
         return false;
     followConfiguration();
     followRunners();
-    entry.setQuarantineHandler([this](const prompt_part_evidence& part) { quarantines.save(part); });
+    entry.promptGuard().setQuarantineHandler([this](const prompt_part_evidence& part) { quarantines.save(part); });
     quarantines.load();
     std::string problem;
     if (peers.start(problem))
--- /dev/null
+++ b/fleet/prompt_guard.cpp
@@ -0,0 +1,110 @@
+#include "fleet/prompt_guard.h"
+
+#include "fleet/event_log.h"
+#include "fleet/process_metrics.h"
+#include "fleet/request_relay.h"
+#include "fleet/steady_time.h"
+#include "serving/prompt_parts.h"
+
+#include <boost/asio/post.hpp>
+
+namespace sardinelb {
+
+prompt_guard::prompt_guard(boost::asio::any_io_executor executor, event_log& log, process_metrics& metrics, prompt_quarantine::random_source random)
+    : m_executor(std::move(executor))
+    , m_log(log)
+    , m_metrics(metrics)
+    , m_detector(m_executor, { [this](const runner_crash& crash) { onCrash(crash); } })
+    , m_quarantine(std::move(random))
+{
+}
+
+std::optional<duration> prompt_guard::quarantineLeft(const pool_id& pool, const std::vector<prompt_part_id>& parts) const
+{
+    return m_quarantine.quarantineLeft(pool, parts, steadyNow());
+}
+
+bool prompt_guard::isSuspect(const pool_id& pool, const std::vector<prompt_part_id>& parts) const
+{
+    return m_quarantine.isSuspect(pool, parts);
+}
+
+void prompt_guard::onAttemptBroken(const listed_runner& runner, const std::vector<prompt_part_id>& parts, crash_detector::receiver onResult)
+{
+    m_detector.onAttemptBroken(runner, parts, std::move(onResult));
+}
+
+std::vector<prompt_part_evidence> prompt_guard::evidence() const
+{
+    return m_quarantine.evidence(steadyNow());
+}
+
+void prompt_guard::onCrash(const runner_crash& crash)
+{
+    m_log.write("runner_crashed", { { "runner", crash.runner.value() }, { "pool", crash.pool.value() }, { "prompt_parts", describe(crash.promptParts) } });
+    m_metrics.count("runner_crashed");
+    m_quarantine.onCrash(crash, steadyNow());
+    applyQuarantines();
+    scheduleEvidence();
+}
+
+void prompt_guard::scheduleEvidence()
+{
+    // One crash concerns many requests, which are told of together.
+    if (m_isEvidenceScheduled || !m_onEvidence)
+        return;
+    m_isEvidenceScheduled = true;
+    boost::asio::post(m_executor, [this] {
+        m_isEvidenceScheduled = false;
+        m_onEvidence();
+    });
+}
+
+void prompt_guard::applyQuarantines()
+{
+    const auto quarantined = m_quarantine.takeQuarantined(steadyNow());
+    for (const auto& [part, isAdopted] : quarantined) {
+        m_log.write("prompt_part_quarantined", { { "pool", part.pool.value() }, { "prompt_part", describe({ part.part }) }, { "crashes", static_cast<std::int64_t>(part.crashes.size()) }, { "for_ms", std::chrono::duration_cast<std::chrono::milliseconds>(part.quarantineLeft).count() }, { "adopted", isAdopted } });
+        m_metrics.count("prompt_part_quarantined");
+        if (!isAdopted && m_onQuarantine)
+            m_onQuarantine(part);
+    }
+    if (quarantined.empty())
+        return;
+    // Requests that end remove themselves.
+    const auto requests = m_requests;
+    for (const auto& [address, request] : requests) {
+        if (const auto relay = request.lock())
+            relay->onQuarantine();
+    }
+}
+
+void prompt_guard::onAnswer(const pool_id& pool, const std::vector<prompt_part_id>& parts)
+{
+    m_quarantine.onAnswer(pool, parts, steadyNow());
+    applyQuarantines();
+}
+
+void prompt_guard::onSent(const pool_id& pool, const std::vector<prompt_part_id>& parts)
+{
+    m_quarantine.onSent(pool, parts, steadyNow());
+}
+
+void prompt_guard::onEvidence(const std::vector<prompt_part_evidence>& parts)
+{
+    for (const prompt_part_evidence& part : parts)
+        m_quarantine.onEvidence(part, steadyNow());
+    applyQuarantines();
+}
+
+void prompt_guard::addRequest(request_relay* address, std::weak_ptr<request_relay> relay)
+{
+    m_requests.emplace(address, std::move(relay));
+}
+
+void prompt_guard::removeRequest(request_relay* address)
+{
+    m_requests.erase(address);
+}
+
+}
--- a/fleet/request_relay.cpp
+++ b/fleet/request_relay.cpp
@@ -127,7 +127,7 @@
     });
     m_caller->setDisconnectHandler([self = shared_from_this()] { self->onCallerDisconnect(); });
     if (!m_request.promptParts.empty())
-        m_context.addPromptRequest(this, weak_from_this());
+        m_context.promptGuard().addRequest(this, weak_from_this());
     if (const auto left = quarantineLeft()) {
         reject(quarantinedReason, *left);
         return;
@@ -222,7 +222,7 @@
 
 std::optional<duration> request_relay::quarantineLeft() const
 {
-    return m_context.promptQuarantine().quarantineLeft(m_pool, m_request.promptParts, steadyNow());
+    return m_context.promptGuard().quarantineLeft(m_pool, m_request.promptParts);
 }
 
 void request_relay::onQuarantine()
@@ -246,7 +246,7 @@
         return;
     m_hasAnswered = true;
     if (!m_request.promptParts.empty())
-        m_context.onAnswer(m_pool, m_request.promptParts);
+        m_context.promptGuard().onAnswer(m_pool, m_request.promptParts);
 }
 
 duration request_relay::timeLeft(time_point now) const
@@ -261,7 +261,7 @@
         endUnserved(quarantinedReason, left);
         return;
     }
-    m_context.onAttemptSent(m_pool, m_request.promptParts);
+    m_context.promptGuard().onSent(m_pool, m_request.promptParts);
     const runner_record* record = m_context.runners().find(runner);
     const time_point now = steadyNow();
     if (!m_triedRunners.empty())
@@ -463,7 +463,7 @@
     const bool isCrashPossible = record && mayRunnerHaveCrashed(failure);
     if (isCrashPossible) {
         m_mayHaveRun = true;
-        m_context.crashDetector().onAttemptBroken(record->listing, m_request.promptParts, [self = shared_from_this(), failure, why](bool hasEnded) {
+        m_context.promptGuard().onAttemptBroken(record->listing, m_request.promptParts, [self = shared_from_this(), failure, why](bool hasEnded) {
             if (!self->m_isFinished)
                 self->retryOrFail(failure, why, hasEnded);
         });
@@ -504,7 +504,7 @@
     failover.attemptsSent = m_attemptsSent;
     failover.maxAttempts = m_route->maxAttempts;
     failover.attemptsNotRun = m_attemptsNotRun;
-    failover.mayCrashRunners = hasRunnerCrashed && m_context.promptQuarantine().isSuspect(m_pool, m_request.promptParts);
+    failover.mayCrashRunners = hasRunnerCrashed && m_context.promptGuard().isSuspect(m_pool, m_request.promptParts);
     failover.retryAllowed = retryBudget.canRetry(m_context.entriesAlive(), now);
     failover.timeLeft = timeLeft(now);
     const failover_action action = chooseFailoverAction(failover);
@@ -582,7 +582,7 @@
 void request_relay::finish(const char* outcome, int status, const char* why)
 {
     m_isFinished = true;
-    m_context.removePromptRequest(this);
+    m_context.promptGuard().removeRequest(this);
     const duration total = steadyNow() - m_arrivedAt;
     m_context.log().write("request", { { "request", m_request.attemptId }, { "outcome", outcome }, { "status", static_cast<std::int64_t>(status) }, { "why", why }, { "route", m_route ? std::string_view(m_route->name) : std::string_view() }, { "runner", m_runner.value() }, { "total_ms", milliseconds(total) }, { "first_ms", milliseconds(m_timeToFirstEvent) }, { "longest_gap_ms", milliseconds(m_maxEventGap) }, { "events", static_cast<std::int64_t>(m_events.eventCount()) }, { "waiting", static_cast<std::int64_t>(m_pool.value().empty() ? 0 : m_context.queueOf(m_pool).size()) } });
     m_context.metrics().recordRequest(outcome, total);
