--- a/fleet/agent_process.cpp
+++ b/fleet/agent_process.cpp
@@ -4,6 +4,7 @@
 #include "fleet/event_log.h"
 #include "fleet/fleet_message.h"
 #include "fleet/group_coordinator.h"
+#include "fleet/group_members.h"
 #include "fleet/http_listener.h"
 #include "fleet/map_order_dispatcher.h"
 #include "fleet/map_order_executor.h"
@@ -49,9 +50,6 @@
 // Fraction of its link that a coordinator uses for demand reports.
 constexpr double demandLinkFraction = 0.25;
 
-// A collector of demand that has been silent for this long is passed over.
-constexpr duration collectorTimeout = std::chrono::milliseconds(1000);
-
 // Interval of reading the runner during a map switch, because each step of a switch waits for reports from all ranks.
 constexpr std::chrono::milliseconds mapSwitchReportInterval { 25 };
 
@@ -64,15 +62,6 @@
 // Entries that are silent for this long are removed. Heartbeats arrive twice a second.
 constexpr duration peerTimeout = std::chrono::milliseconds(1700);
 
-// Candidates for coordinator are removed when no entry has heard of them for this long. News of them takes two heartbeats.
-constexpr duration candidateTimeout = std::chrono::milliseconds(2500);
-
-// The standby coordinator takes over when no report of the coordinator, sent ten times a second, has arrived for this long.
-constexpr duration coordinatorTimeout = std::chrono::milliseconds(500);
-
-// Agents that receive the reports of all ranks: the coordinator and the standby coordinator.
-constexpr std::size_t coordinatorCount = 2;
-
 }
 
 struct agent_process::implementation : std::enable_shared_from_this<implementation> {
@@ -81,11 +70,6 @@
         time_point lastHeardAt;
     };
 
-    struct known_member {
-        std::string address;
-        time_point lastHeardAt;
-    };
-
     implementation(boost::asio::io_context& io, platform::settings values, event_log& events)
         : context(io)
         , options(std::move(values))
@@ -104,10 +88,7 @@
     std::shared_ptr<udp_socket> socket;
     std::shared_ptr<http_listener> metricsServer;
     std::map<std::string, known_entry> entries;
-    std::map<rank_id, known_member> members;
-    // Runner addresses of the group, including ranks that are silent.
-    std::map<rank_id, std::string> addresses;
-    std::map<rank_id, availability_zone_id> zones;
+    group_members members;
     group_coordinator::limits limits;
     // Last report of the local rank.
     std::optional<rank_message> localReport;
@@ -131,8 +112,6 @@
     // Exists while `coordinator` does.
     std::unique_ptr<map_order_dispatcher> dispatcher;
     time_point nextDemandRoutesAt;
-    // When the last report of each rank arrived.
-    std::map<rank_id, time_point> lastHeardAt;
     bool isActiveCoordinator = false;
 
     bool start();
@@ -150,8 +129,6 @@
     void reportDemand();
     void sendDemand(const demand_reporting::outgoing&);
     void sendDemandRoutes();
-    // The ranks that have reported, ordered by availability zone.
-    std::vector<rank_id> ranksByZone() const;
     double linkBytesPerSecond() const;
     duration loadReportInterval() const;
     duration rankReportInterval() const;
@@ -160,8 +137,6 @@
     void sendReportToCoordinators();
     void sendToAgent(const std::string& runnerAddress, const fleet_message&);
     void resetCoordinator();
-    std::vector<rank_id> coordinatorCandidates() const;
-    bool canCoordinate(time_point now) const;
     void updateCoordinator();
     void startCoordinator();
     void sendOrderToRunner(const map_order&);
@@ -231,7 +206,7 @@
 {
     const time_point now = steadyNow();
     std::erase_if(entries, [&](const auto& entry) { return now - entry.second.lastHeardAt > peerTimeout; });
-    std::erase_if(members, [&](const auto& entry) { return now - entry.second.lastHeardAt > candidateTimeout; });
+    members.removeSilentCandidates(now);
 }
 
 void agent_process::implementation::onDatagram(std::string_view bytes, const udp::endpoint& from)
@@ -261,10 +236,7 @@
 {
     if (!coordinator || !localReport || message.group != localReport->group)
         return;
-    lastHeardAt[message.status.rank] = steadyNow();
-    if (!message.address.empty())
-        addresses[message.status.rank] = message.address;
-    zones[message.status.rank] = message.zone;
+    members.onReport(message.status.rank, message.address, message.zone, steadyNow());
     coordinator->onReport(message, steadyNow());
 }
 
@@ -310,12 +282,8 @@
     entries[ip] = { from, now };
     if (!localReport || heartbeat.group != localReport->group)
         return;
-    for (const auto& member : heartbeat.members) {
-        known_member& known = members[member.rank];
-        if (now - member.age >= known.lastHeardAt)
-            known = { member.address, now - member.age };
-        addresses[member.rank] = member.address;
-    }
+    for (const auto& member : heartbeat.members)
+        members.onCandidate(member.rank, member.address, member.age, now);
     if (heartbeat.expertsPerRank > 0)
         limits = { heartbeat.expertsPerRank, heartbeat.newExpertsPerRank, heartbeat.expertCopyTime, heartbeat.slots, linkBytesPerSecond() };
 }
@@ -414,21 +382,6 @@
         socket->send(encode(outgoing.report), *demandCoordinator);
 }
 
-std::vector<rank_id> agent_process::implementation::ranksByZone() const
-{
-    std::vector<std::pair<availability_zone_id, rank_id>> ranks { { options.zone, localReport->status.rank } };
-    for (const auto& [rank, zone] : zones) {
-        if (rank != localReport->status.rank)
-            ranks.emplace_back(zone, rank);
-    }
-    std::sort(ranks.begin(), ranks.end());
-    std::vector<rank_id> order;
-    order.reserve(ranks.size());
-    for (const auto& [zone, rank] : ranks)
-        order.push_back(rank);
-    return order;
-}
-
 void agent_process::implementation::sendDemandRoutes()
 {
     const time_point now = steadyNow();
@@ -437,13 +390,12 @@
     nextDemandRoutesAt = now + demandRouteInterval;
     const demand_route route = coordinator->demandRoute(linkBytesPerSecond() * demandLinkFraction);
     demand_route_message message { localReport->group, localReport->status.epoch, "", route.interval };
-    const std::vector<rank_id> order = ranksByZone();
+    const std::vector<rank_id> order = members.ranksByZone({ localReport->status.rank, options.zone });
     for (std::uint32_t position = 0; position < order.size(); ++position) {
         const rank_id rank = order[position];
         const std::string address = addressOf(rank);
         const rank_id collector = order[std::min<std::size_t>(route.collectorOf(position), order.size() - 1)];
-        const auto heard = lastHeardAt.find(collector);
-        const bool isCollected = collector != rank && heard != lastHeardAt.end() && now - heard->second <= collectorTimeout;
+        const bool isCollected = collector != rank && members.isReporting(collector, now);
         message.collector = isCollected ? addressOf(collector) : std::string();
         if (rank == localReport->status.rank)
             demand.setRoute(message, now);
@@ -473,19 +425,6 @@
         socket->send(bytes, entry.address);
 }
 
-std::vector<rank_id> agent_process::implementation::coordinatorCandidates() const
-{
-    std::vector<rank_id> ranks { localReport->status.rank };
-    for (const auto& [rank, member] : members) {
-        if (rank != localReport->status.rank)
-            ranks.push_back(rank);
-    }
-    std::sort(ranks.begin(), ranks.end());
-    if (ranks.size() > coordinatorCount)
-        ranks.resize(coordinatorCount);
-    return ranks;
-}
-
 void agent_process::implementation::sendReportToCoordinators()
 {
     nextRankReportAt = steadyNow() + rankReportInterval();
@@ -496,28 +435,12 @@
         --expertListsDue;
     else if (!isListDue)
         message.status.expertsBySet.clear();
-    for (const rank_id rank : coordinatorCandidates()) {
+    for (const rank_id rank : members.coordinatorCandidates(localReport->status.rank)) {
         if (rank != localReport->status.rank)
-            sendToAgent(members.at(rank).address, message);
+            sendToAgent(members.addressOf(rank), message);
     }
 }
 
-bool agent_process::implementation::canCoordinate(time_point now) const
-{
-    // Without heartbeats from an entry that knows the group, this agent cannot tell whether another agent is the coordinator.
-    if (!localReport || members.empty())
-        return false;
-    const std::vector<rank_id> candidates = coordinatorCandidates();
-    if (std::find(candidates.begin(), candidates.end(), localReport->status.rank) == candidates.end())
-        return false;
-    return std::all_of(candidates.begin(), candidates.end(), [&](rank_id rank) {
-        if (rank >= localReport->status.rank)
-            return true;
-        const auto heard = lastHeardAt.find(rank);
-        return heard != lastHeardAt.end() && now - heard->second > coordinatorTimeout;
-    });
-}
-
 void agent_process::implementation::startCoordinator()
 {
     const rank_id local = localReport->status.rank;
@@ -533,10 +456,7 @@
         dispatcher->dispatch(order, steadyNow());
     };
     coordinator = std::make_unique<group_coordinator>(localReport->group, local, localReport->groupSize, log, group_coordinator::hooks { sendOrder });
-    // Starts the silence timeout of the lower ranks now.
-    const time_point now = steadyNow();
-    for (const rank_id rank : coordinatorCandidates())
-        lastHeardAt[rank] = now;
+    members.startSilenceTimeout(local, steadyNow());
 }
 
 void agent_process::implementation::updateCoordinator()
@@ -544,16 +464,16 @@
     const time_point now = steadyNow();
     if (!localReport)
         return;
-    const std::vector<rank_id> candidates = coordinatorCandidates();
-    const bool isCandidate = !members.empty() && std::find(candidates.begin(), candidates.end(), localReport->status.rank) != candidates.end();
+    const rank_id local = localReport->status.rank;
+    const bool isCandidate = members.isCandidate(local);
     const bool isBusy = coordinator && coordinator->isBusy();
     if (!isCandidate && !isBusy)
         resetCoordinator();
     if (isCandidate && !coordinator)
         startCoordinator();
-    const bool isNowActive = coordinator && canCoordinate(now);
+    const bool isNowActive = coordinator && members.canCoordinate(local, now);
     if (isNowActive != isActiveCoordinator)
-        log.write(isNowActive ? "lead_began" : "lead_ended", { { "group", localReport->group.value() }, { "rank", static_cast<std::int64_t>(localReport->status.rank.value()) } });
+        log.write(isNowActive ? "lead_began" : "lead_ended", { { "group", localReport->group.value() }, { "rank", static_cast<std::int64_t>(local.value()) } });
     isActiveCoordinator = isNowActive;
     if (!coordinator)
         return;
@@ -568,8 +488,7 @@
 {
     if (localReport && rank == localReport->status.rank)
         return options.runnerAddress;
-    const auto known = addresses.find(rank);
-    return known == addresses.end() ? std::string() : known->second;
+    return members.addressOf(rank);
 }
 
 void agent_process::implementation::resetCoordinator()
