--- a/fleet/fleet_message.cpp
+++ b/fleet/fleet_message.cpp
@@ -49,6 +49,7 @@
     static std::vector<wire::runner_limit> createRunnerLimits(const std::vector<runner_limit_news>& limits)
     {
         std::vector<wire::runner_limit> all;
+        all.reserve(limits.size());
         for (const runner_limit_news& news : limits)
             all.emplace_back(news.runner.value(), news.requestsPerSecond.value_or(noLimit), milliseconds(news.age));
         return all;
--- a/serving/runner_limit.cpp
+++ b/serving/runner_limit.cpp
@@ -10,6 +10,11 @@
 // An entry that uses a limited runner sends it at least this many requests a second, so that it learns when the limit ends.
 constexpr double minRequestsPerSecond = 0.1;
 
+// A limited runner is used by this many entries, and by more with a higher limit, so that no availability zone goes without. If all of them send
+// the request that they have saved up at the same moment, the excess is that of two seconds and these few requests.
+constexpr double minUsers = 4;
+constexpr double usersPerRequestPerSecond = 2;
+
 // What an entry may send in this time, or a single request, is the most that it saves up.
 constexpr duration savedTime = std::chrono::milliseconds(100);
 
@@ -58,7 +63,8 @@
 double runner_limit::ownRate() const
 {
     const double limit = std::max(*m_limit, minRequestsPerSecond);
-    const double users = std::clamp(std::floor(limit), 1.0, static_cast<double>(m_entryCount));
+    const double mostUsers = std::max(1.0, std::min(std::floor(limit / minRequestsPerSecond), static_cast<double>(m_entryCount)));
+    const double users = std::min(std::floor(minUsers + usersPerRequestPerSecond * limit), mostUsers);
     return static_cast<double>(m_position) < users ? limit / users : 0;
 }
 
--- a/serving/runner_limit.h
+++ b/serving/runner_limit.h
@@ -9,8 +9,8 @@
 
 namespace sardinelb {
 
-// The limit that a runner names, and the part of it that one entry may use. All entries together stay within the limit: only so many of
-// them use the runner as it takes requests in a second, each with an equal part and hardly saving up for a burst. Pure state machine.
+// The limit that a runner names, and the part of it that one entry may use. All entries together stay within the limit: a few of them
+// use the runner, more with a higher limit, each with an equal part and hardly saving up for a burst. Pure state machine.
 class runner_limit {
 public:
     // An answer to this entry named this limit, or none.
--- a/tests/fleet/runner_limit_test.cpp
+++ b/tests/fleet/runner_limit_test.cpp
@@ -83,7 +83,7 @@
     time_point now { seconds(100) };
     runner_limit user;
     runner_limit other;
-    other.setPosition(5, 6);
+    other.setPosition(9, 10);
     for (runner_limit* entry : { &user, &other })
         entry->onAnswer(1.0, now);
     EXPECT_EQ(other.sendable(now + seconds(60)), 0U);
