--- a/fleet/request_relay.cpp
+++ b/fleet/request_relay.cpp
@@ -115,6 +115,10 @@
     if (m_route->timeLimit > duration {})
         m_deadline = std::min(m_deadline, m_arrivedAt + m_route->timeLimit);
     m_context.retryBudgetOf(m_pool).onRequest(m_arrivedAt);
+    if (const auto left = quarantineLeft()) {
+        reject(quarantinedReason, *left);
+        return;
+    }
     if (isStream(m_route->retrySemantics))
         m_context.demand().onArrival();
     m_isCallerRetry = m_request.callerTimeout && *m_request.callerTimeout < m_context.updateMaxCallerTimeout(m_route->name, *m_request.callerTimeout) * callerRetryTimeoutRatio;
@@ -128,10 +132,6 @@
     m_caller->setDisconnectHandler([self = shared_from_this()] { self->onCallerDisconnect(); });
     if (!m_request.promptParts.empty())
         m_context.promptGuard().addRequest(this, weak_from_this());
-    if (const auto left = quarantineLeft()) {
-        reject(quarantinedReason, *left);
-        return;
-    }
     dispatchOrEnqueue();
 }
 
@@ -337,7 +337,7 @@
         onEvents(part);
     else
         m_body += part;
-    if (!updateBufferedBytes())
+    if (m_exchange && !updateBufferedBytes())
         onAttemptFailed(attempt_failure::OutcomeUnknown, "response is too long to buffer");
 }
 
--- a/serving/prompt_parts.cpp
+++ b/serving/prompt_parts.cpp
@@ -5,9 +5,14 @@
 
 namespace sardinelb {
 
+namespace {
+
+constexpr int hexadecimal = 16;
+
+}
+
 std::string describe(const std::vector<prompt_part_id>& parts)
 {
-    constexpr int hexadecimal = 16;
     constexpr std::size_t maxDigits = 16;
     std::string text;
     for (const prompt_part_id& part : parts) {
@@ -20,4 +25,13 @@
     return text;
 }
 
+std::optional<prompt_part_id> parsePromptPart(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, hexadecimal);
+    if (error != std::errc {} || end != text.data() + text.size())
+        return std::nullopt;
+    return prompt_part_id(value);
+}
+
 }
