--- a/tests/fleet/fleet_message_test.cpp
+++ b/tests/fleet/fleet_message_test.cpp
@@ -1,7 +1,10 @@
 #include "fleet/fleet_message.h"
+#include "serving/prompt_quarantine.h"
+#include "serving/runner_limit.h"
 
 #include <gtest/gtest.h>
 
+#include <iterator>
 #include <random>
 
 namespace sardinelb::test {
@@ -23,6 +26,18 @@
         return message;
     }
 
+    static entry_heartbeat_message exampleHeartbeat()
+    {
+        entry_heartbeat_message heartbeat;
+        heartbeat.daemon = daemon_id("e1");
+        heartbeat.configuration = config_version(9);
+        heartbeat.members = { { rank_id(1), "10.0.0.1:80", std::chrono::milliseconds(70) } };
+        heartbeat.groups = { { group_id("g0-1"), heartbeat.members } };
+        heartbeat.promptParts = { { pool_id("p"), prompt_part_id(66), 1, { { runner_process_id(5), std::chrono::milliseconds(40) } }, std::chrono::seconds(2), std::chrono::seconds(60), 3 } };
+        heartbeat.runnerLimits = { { runner_process_id(5), 2.2, std::chrono::milliseconds(30) }, { runner_process_id(6), std::nullopt, {} } };
+        return heartbeat;
+    }
+
     static delegated_order_message exampleOrder()
     {
         delegated_order_message message;
@@ -48,14 +63,7 @@
 
 TEST_F(fleet_datagram, heartbeat_encodedAndDecoded_equal)
 {
-    entry_heartbeat_message heartbeat;
-    heartbeat.daemon = daemon_id("e1");
-    heartbeat.configuration = config_version(9);
-    heartbeat.members = { { rank_id(1), "10.0.0.1:80", std::chrono::milliseconds(70) } };
-    heartbeat.groups = { { group_id("g0-1"), heartbeat.members } };
-    heartbeat.promptParts = { { pool_id("p"), prompt_part_id(66), 1, { { runner_process_id(5), std::chrono::milliseconds(40) } }, std::chrono::seconds(2), std::chrono::seconds(60), 3 } };
-    heartbeat.runnerLimits = { { runner_process_id(5), 2.2, std::chrono::milliseconds(30) }, { runner_process_id(6), std::nullopt, {} } };
-    const auto decoded = decode(encode(heartbeat));
+    const auto decoded = decode(encode(exampleHeartbeat()));
     ASSERT_TRUE(decoded);
     const auto& message = std::get<entry_heartbeat_message>(*decoded);
     ASSERT_EQ(message.runnerLimits.size(), 2U);
@@ -107,9 +115,9 @@
 TEST_F(fleet_datagram, corruptedBytes_decoded_nothingOrAMessage)
 {
     std::mt19937 random(7);
-    const std::string examples[] = { encode(exampleRank()), encode(exampleOrder()) };
-    for (int i = 0; i < 40000; ++i) {
-        const std::string& whole = examples[i % 2];
+    const std::string examples[] = { encode(exampleRank()), encode(exampleOrder()), encode(exampleHeartbeat()) };
+    for (int i = 0; i < 60000; ++i) {
+        const std::string& whole = examples[i % std::size(examples)];
         std::string bytes = whole.substr(0, random() % (whole.size() + 1));
         for (int flips = 0; flips < 3 && !bytes.empty(); ++flips)
             bytes[random() % bytes.size()] = static_cast<char>(random());
@@ -119,4 +127,34 @@
     EXPECT_FALSE(decode("hello"));
 }
 
+// Guards against a corrupted heartbeat that crashes an entry, or that keeps out a prompt part or a runner for good.
+TEST_F(fleet_datagram, corruptedHeartbeat_applied_endsByItself)
+{
+    std::mt19937 random(9);
+    const std::string whole = encode(exampleHeartbeat());
+    const time_point now { std::chrono::hours(2000) };
+    int applied = 0;
+    for (int i = 0; i < 20000; ++i) {
+        std::string bytes = whole;
+        for (int flips = 0; flips < 3; ++flips)
+            bytes[random() % bytes.size()] = static_cast<char>(random());
+        const auto decoded = decode(bytes);
+        const auto* heartbeat = decoded ? std::get_if<entry_heartbeat_message>(&*decoded) : nullptr;
+        if (!heartbeat)
+            continue;
+        ++applied;
+        prompt_quarantine quarantine([] { return 0.99; });
+        for (const prompt_part_evidence& told : heartbeat->promptParts) {
+            quarantine.onEvidence(told, now);
+            EXPECT_FALSE(quarantine.quarantineLeft(told.pool, { told.part }, now + std::chrono::hours(2)));
+        }
+        runner_limit limit;
+        for (const runner_limit_news& news : heartbeat->runnerLimits) {
+            limit.onNews(news, now);
+            EXPECT_FALSE(limit.sendable(now + std::chrono::minutes(1)));
+        }
+    }
+    EXPECT_GT(applied, 1000);
+}
+
 }
