--- a/fleet/entry_context.cpp
+++ b/fleet/entry_context.cpp
@@ -141,11 +141,11 @@
         m_log.write("runner_limit", { { "runner", runner.value() }, { "limited", requestsPerSecond.has_value() }, { "requests_per_second", requestsPerSecond.value_or(0) } });
 }
 
-void entry_context::onLimitNews(const std::vector<runner_limit_news>& all)
+void entry_context::onLimitUpdates(const std::vector<runner_limit_update>& all)
 {
-    for (const runner_limit_news& news : all) {
-        if (m_runners.onLimitNews(news, steadyNow()))
-            m_log.write("runner_limit_heard", { { "process", static_cast<std::int64_t>(news.runner.value()) }, { "limited", news.requestsPerSecond.has_value() }, { "requests_per_second", news.requestsPerSecond.value_or(0) } });
+    for (const runner_limit_update& update : all) {
+        if (m_runners.onLimitUpdate(update, steadyNow()))
+            m_log.write("runner_limit_received", { { "process", static_cast<std::int64_t>(update.runner.value()) }, { "limited", update.requestsPerSecond.has_value() }, { "requests_per_second", update.requestsPerSecond.value_or(0) } });
     }
 }
 
--- a/fleet/entry_context.h
+++ b/fleet/entry_context.h
@@ -81,7 +81,7 @@
     // A runner named a limit in an answer, or none.
     void onNamedLimit(const runner_id&, std::optional<double> requestsPerSecond);
     // Limits that runners named in answers to another entry.
-    void onLimitNews(const std::vector<runner_limit_news>&);
+    void onLimitUpdates(const std::vector<runner_limit_update>&);
 
     std::size_t activeRequests = 0;
 
--- a/fleet/entry_peers.cpp
+++ b/fleet/entry_peers.cpp
@@ -153,7 +153,7 @@
     entry_heartbeat_message heartbeat = createHeartbeat();
     heartbeat.arrivalsPerSecond = static_cast<float>(m_arrivalsPerSecond);
     heartbeat.groups = directCandidates();
-    heartbeat.runnerLimits = m_entry.runners().limitNews(steadyNow());
+    heartbeat.runnerLimits = m_entry.runners().limitUpdates(steadyNow());
     heartbeat.promptParts = m_entry.promptGuard().evidence();
     const std::string bytes = encode(heartbeat);
     for (const auto& [ip, at] : m_entries) {
@@ -264,7 +264,7 @@
 {
     // An entry that stops still serves, and may be the only one that knows.
     m_entry.promptGuard().onEvidence(heartbeat.promptParts);
-    m_entry.onLimitNews(heartbeat.runnerLimits);
+    m_entry.onLimitUpdates(heartbeat.runnerLimits);
     if (heartbeat.isStopping) {
         m_entries.erase(ip);
         m_entry.demand().removePeer(ip);
--- a/fleet/fleet_message.cpp
+++ b/fleet/fleet_message.cpp
@@ -46,12 +46,12 @@
         return offsets;
     }
 
-    static std::vector<wire::runner_limit> createRunnerLimits(const std::vector<runner_limit_news>& limits)
+    static std::vector<wire::runner_limit> createRunnerLimits(const std::vector<runner_limit_update>& limits)
     {
         std::vector<wire::runner_limit> all;
         all.reserve(limits.size());
-        for (const runner_limit_news& news : limits)
-            all.emplace_back(news.runner.value(), news.requestsPerSecond.value_or(noLimit), milliseconds(news.age));
+        for (const runner_limit_update& update : limits)
+            all.emplace_back(update.runner.value(), update.requestsPerSecond.value_or(noLimit), milliseconds(update.age));
         return all;
     }
 
@@ -167,15 +167,15 @@
     return evidence;
 }
 
-runner_limit_news read(const wire::runner_limit& body)
+runner_limit_update read(const wire::runner_limit& body)
 {
-    runner_limit_news news;
-    news.runner = runner_process_id(body.process());
+    runner_limit_update update;
+    update.runner = runner_process_id(body.process());
     const double limit = body.requests_per_second();
     if (std::isfinite(limit) && limit >= 0)
-        news.requestsPerSecond = limit;
-    news.age = std::chrono::milliseconds(body.age_ms());
-    return news;
+        update.requestsPerSecond = limit;
+    update.age = std::chrono::milliseconds(body.age_ms());
+    return update;
 }
 
 fleet_message read(const wire::entry_beat& body)
--- a/fleet/fleet_message.h
+++ b/fleet/fleet_message.h
@@ -7,7 +7,7 @@
 #include "fleet/demand_route_message.h"
 #include "serving/prompt_part_evidence.h"
 #include "serving/rank_load.h"
-#include "serving/runner_limit_news.h"
+#include "serving/runner_limit_update.h"
 #include "state/ids.h"
 #include "state/time.h"
 
@@ -51,7 +51,7 @@
     // Prompt parts that may crash runners, as far as the sender knows. Empty for agents.
     std::vector<prompt_part_evidence> promptParts;
     // Limits that runners have named in answers to the sender. Empty for agents.
-    std::vector<runner_limit_news> runnerLimits;
+    std::vector<runner_limit_update> runnerLimits;
     // This and the fields below are set for agents whose group the entry knows. The members are the lowest ranks.
     group_id group;
     std::vector<member> members;
--- a/fleet/group_members.h
+++ b/fleet/group_members.h
@@ -19,7 +19,7 @@
         availability_zone_id zone;
     };
 
-    // An entry has told that it heard of a rank `age` ago.
+    // An entry got a report of a rank `age` ago.
     void onCandidate(rank_id, const std::string& address, duration age, time_point now);
 
     // A report of a rank has arrived. The address is empty if it is unknown.
@@ -34,7 +34,7 @@
     // Begins to wait for reports of the candidates, as if all had reported now.
     void startSilenceTimeout(rank_id local, time_point now);
 
-    // Whether the local rank is a candidate and all lower candidates have been silent for long enough. Without news from an entry that
+    // Whether the local rank is a candidate and all lower candidates have been silent for long enough. Without heartbeats from an entry that
     // knows the group, the agent cannot tell.
     bool canCoordinate(rank_id local, time_point now) const;
 
--- a/fleet/prompt_guard.cpp
+++ b/fleet/prompt_guard.cpp
@@ -50,7 +50,7 @@
 
 void prompt_guard::scheduleEvidence()
 {
-    // One crash concerns many requests, which are told of together.
+    // One crash concerns many requests, whose evidence is sent together.
     if (m_isEvidenceScheduled || !m_onEvidence)
         return;
     m_isEvidenceScheduled = true;
--- a/serving/prompt_quarantine.cpp
+++ b/serving/prompt_quarantine.cpp
@@ -30,7 +30,7 @@
 // Crashes that are older than this no longer count, unless the part is quarantined.
 constexpr duration crashLifetime = std::chrono::minutes(10);
 
-// An answered part is told to the other entries for this long.
+// An answered part is shared with the other entries for this long.
 constexpr duration clearedLifetime = std::chrono::seconds(3);
 
 constexpr std::size_t maxAnsweredParts = 4096;
@@ -38,8 +38,8 @@
 constexpr std::size_t maxCrashesPerPart = 8;
 
 // Bound the size of a heartbeat.
-constexpr std::size_t maxToldParts = 12;
-constexpr std::size_t maxToldCrashesPerPart = 6;
+constexpr std::size_t maxSharedParts = 12;
+constexpr std::size_t maxSharedCrashesPerPart = 6;
 
 }
 
@@ -140,7 +140,7 @@
     }
 }
 
-bool prompt_quarantine::isConvicted(const part_key& key, const suspect& known, time_point now)
+bool prompt_quarantine::isQuarantineDue(const part_key& key, const suspect& known, time_point now)
 {
     if (known.crashes.empty() || isQuarantined(known, now))
         return false;
@@ -156,7 +156,7 @@
         const part_key* worstKey = nullptr;
         suspect* worst = nullptr;
         for (auto& [key, known] : m_suspects) {
-            if (isConvicted(key, known, now) && (!worst || weight(known) > weight(*worst))) {
+            if (isQuarantineDue(key, known, now) && (!worst || weight(known) > weight(*worst))) {
                 worstKey = &key;
                 worst = &known;
             }
@@ -184,30 +184,30 @@
     m_newlyQuarantined.emplace_back(key, isAdopted);
 }
 
-void prompt_quarantine::onEvidence(const prompt_part_evidence& told, time_point now)
+void prompt_quarantine::onEvidence(const prompt_part_evidence& received, time_point now)
 {
-    const part_key key { told.pool, told.part };
+    const part_key key { received.pool, received.part };
     const answered_part* own = findAnswered(key);
-    if (told.answerAge && (!own || now - *told.answerAge > own->at))
-        recordAnswered(key, { now - *told.answerAge, m_answers[told.pool] });
+    if (received.answerAge && (!own || now - *received.answerAge > own->at))
+        recordAnswered(key, { now - *received.answerAge, m_answers[received.pool] });
     const answered_part* answered = findAnswered(key);
     const auto isOutdated = [&](const prompt_part_evidence::crash& crash) { return answered && now - crash.age <= answered->at; };
     // A quarantine that an earlier process has stored comes without its crashes.
-    const bool isStoredQuarantine = told.quarantineLeft > duration {} && told.crashes.empty() && !answered;
-    if (!isStoredQuarantine && std::all_of(told.crashes.begin(), told.crashes.end(), isOutdated)) {
-        onAnsweredSince(key, !told.crashes.empty(), now);
+    const bool isStoredQuarantine = received.quarantineLeft > duration {} && received.crashes.empty() && !answered;
+    if (!isStoredQuarantine && std::all_of(received.crashes.begin(), received.crashes.end(), isOutdated)) {
+        onAnsweredSince(key, !received.crashes.empty(), now);
         return;
     }
     const auto before = m_suspects.find(key);
     const bool isQuarantinedHere = before != m_suspects.end() && isQuarantined(before->second, now);
-    if (told.quarantineLeft > duration {} && !isQuarantinedHere) {
+    if (received.quarantineLeft > duration {} && !isQuarantinedHere) {
         suspect& known = m_suspects[key];
-        known.quarantineCount = std::max(known.quarantineCount, told.quarantineCount);
-        quarantine(key, known, std::min(told.quarantineLeft, maxQuarantine), true, now);
+        known.quarantineCount = std::max(known.quarantineCount, received.quarantineCount);
+        quarantine(key, known, std::min(received.quarantineLeft, maxQuarantine), true, now);
     }
-    for (const auto& crash : told.crashes) {
+    for (const auto& crash : received.crashes) {
         if (!isOutdated(crash))
-            addCrash(key, crash.process, told.position, now - crash.age, now);
+            addCrash(key, crash.process, received.position, now - crash.age, now);
     }
     updateQuarantines(now);
     removeExpired(now);
@@ -228,20 +228,20 @@
 
 prompt_part_evidence prompt_quarantine::evidenceOf(const part_key& key, const suspect& known, time_point now) const
 {
-    prompt_part_evidence told;
-    told.pool = key.first;
-    told.part = key.second;
+    prompt_part_evidence result;
+    result.pool = key.first;
+    result.part = key.second;
     for (const auto& [process, at] : known.crashes)
-        told.crashes.push_back({ process, now - at });
-    std::sort(told.crashes.begin(), told.crashes.end(), [](const auto& a, const auto& b) { return a.age < b.age; });
-    told.crashes.resize(std::min(told.crashes.size(), maxToldCrashesPerPart));
+        result.crashes.push_back({ process, now - at });
+    std::sort(result.crashes.begin(), result.crashes.end(), [](const auto& a, const auto& b) { return a.age < b.age; });
+    result.crashes.resize(std::min(result.crashes.size(), maxSharedCrashesPerPart));
     if (const answered_part* answered = findAnswered(key))
-        told.answerAge = now - answered->at;
+        result.answerAge = now - answered->at;
     if (isQuarantined(known, now))
-        told.quarantineLeft = *known.quarantinedUntil - now;
-    told.quarantineCount = known.quarantineCount;
-    told.position = known.position;
-    return told;
+        result.quarantineLeft = *known.quarantinedUntil - now;
+    result.quarantineCount = known.quarantineCount;
+    result.position = known.position;
+    return result;
 }
 
 std::vector<prompt_part_evidence> prompt_quarantine::evidence(time_point now) const
@@ -251,9 +251,9 @@
         if (!known.crashes.empty() || isQuarantined(known, now) || (known.clearedAt && now - *known.clearedAt <= clearedLifetime))
             all.push_back(evidenceOf(key, known, now));
     }
-    const auto weight = [](const prompt_part_evidence& told) { return std::pair(told.quarantineLeft > duration {}, told.crashes.size()); };
+    const auto weight = [](const prompt_part_evidence& result) { return std::pair(result.quarantineLeft > duration {}, result.crashes.size()); };
     std::sort(all.begin(), all.end(), [&](const auto& a, const auto& b) { return weight(a) > weight(b); });
-    all.resize(std::min(all.size(), maxToldParts));
+    all.resize(std::min(all.size(), maxSharedParts));
     return all;
 }
 
--- a/serving/prompt_quarantine.h
+++ b/serving/prompt_quarantine.h
@@ -96,11 +96,11 @@
     void explainCrashes(const suspect& cause, time_point now);
     static void clear(suspect&, time_point now);
     static bool isQuarantined(const suspect&, time_point now);
-    bool isConvicted(const part_key&, const suspect&, time_point now);
+    bool isQuarantineDue(const part_key&, const suspect&, time_point now);
     bool hasCrashedEnough(const part_key&, const suspect&);
     void updateQuarantines(time_point now);
     void quarantine(const part_key&, suspect&, duration, bool isAdopted, time_point now);
-    // A request with the part has been answered since all crashes that another entry told of.
+    // A request with the part has been answered since all crashes in the evidence of another entry.
     void onAnsweredSince(const part_key&, bool isSuspectElsewhere, time_point now);
     prompt_part_evidence evidenceOf(const part_key&, const suspect&, time_point now) const;
     void removeExpired(time_point now);
--- a/serving/runner_directory.cpp
+++ b/serving/runner_directory.cpp
@@ -445,26 +445,26 @@
     return isChanged;
 }
 
-bool runner_directory::onLimitNews(const runner_limit_news& news, time_point now)
+bool runner_directory::onLimitUpdate(const runner_limit_update& update, time_point now)
 {
-    const auto known = m_byProcess.find(news.runner);
+    const auto known = m_byProcess.find(update.runner);
     if (known == m_byProcess.end())
         return false;
     runner_record& record = m_runners.at(known->second);
     const std::optional<double> before = record.limit.requestsPerSecond();
-    record.limit.onNews(news, now);
+    record.limit.onUpdate(update, now);
     const bool isChanged = record.limit.requestsPerSecond() != before;
     if (isChanged)
         updateLimitPosition(record);
     return isChanged;
 }
 
-std::vector<runner_limit_news> runner_directory::limitNews(time_point now) const
+std::vector<runner_limit_update> runner_directory::limitUpdates(time_point now) const
 {
-    std::vector<runner_limit_news> all;
+    std::vector<runner_limit_update> all;
     for (const auto& [process, id] : m_byProcess) {
-        if (const auto news = m_runners.at(id).limit.news(process, now))
-            all.push_back(*news);
+        if (const auto update = m_runners.at(id).limit.update(process, now))
+            all.push_back(*update);
     }
     return all;
 }
--- a/serving/runner_directory.h
+++ b/serving/runner_directory.h
@@ -82,10 +82,10 @@
     bool onNamedLimit(const runner_id&, std::optional<double> requestsPerSecond, time_point now);
 
     // The same for an answer to another entry. Ignored for a process that is not listed.
-    bool onLimitNews(const runner_limit_news&, time_point now);
+    bool onLimitUpdate(const runner_limit_update&, time_point now);
 
     // The limits that runners have named in answers to this entry, for the other entries.
-    std::vector<runner_limit_news> limitNews(time_point now) const;
+    std::vector<runner_limit_update> limitUpdates(time_point now) const;
 
     // Records the time from sending a request to the first event of its stream.
     void onFirstEvent(const runner_id&, duration sinceSent);
--- a/serving/runner_limit.cpp
+++ b/serving/runner_limit.cpp
@@ -18,11 +18,11 @@
 // What an entry may send in this time, or a single request, is the most that it saves up.
 constexpr duration savedTime = std::chrono::milliseconds(100);
 
-// Without news from another entry, a limit that was heard of is forgotten after this time. Heartbeats come twice a second.
-constexpr duration newsTimeout = std::chrono::seconds(5);
+// Without updates from another entry, a limit that was received from it is forgotten after this time. Heartbeats come twice a second.
+constexpr duration updateTimeout = std::chrono::seconds(5);
 
-// The end of a limit is told for this long, in case heartbeats are lost.
-constexpr duration endToldFor = std::chrono::seconds(20);
+// The end of a limit is shared for this long, in case heartbeats are lost.
+constexpr duration endSharedFor = std::chrono::seconds(20);
 
 }
 
@@ -32,14 +32,14 @@
     m_isOwnAnswer = true;
 }
 
-void runner_limit::onNews(const runner_limit_news& news, time_point now)
+void runner_limit::onUpdate(const runner_limit_update& update, time_point now)
 {
-    if (news.requestsPerSecond)
+    if (update.requestsPerSecond)
         m_limitedAt = now;
-    const time_point answeredAt = now - news.age;
+    const time_point answeredAt = now - update.age;
     if (m_answeredAt && answeredAt < *m_answeredAt)
         return;
-    apply(news.requestsPerSecond, answeredAt, now);
+    apply(update.requestsPerSecond, answeredAt, now);
     m_isOwnAnswer = false;
 }
 
@@ -78,7 +78,7 @@
 
 bool runner_limit::isInForce(time_point now) const
 {
-    const bool isForgotten = !m_isOwnAnswer && now - m_heardAt > newsTimeout;
+    const bool isForgotten = !m_isOwnAnswer && now - m_heardAt > updateTimeout;
     return m_limit && !isForgotten;
 }
 
@@ -97,13 +97,13 @@
     m_tokensAt = now;
 }
 
-std::optional<runner_limit_news> runner_limit::news(const runner_process_id& runner, time_point now) const
+std::optional<runner_limit_update> runner_limit::update(const runner_process_id& runner, time_point now) const
 {
     // The end of a limit interests only those that may still keep to it.
-    const bool isOfInterest = m_limit || (m_limitedAt && now - *m_limitedAt <= endToldFor);
+    const bool isOfInterest = m_limit || (m_limitedAt && now - *m_limitedAt <= endSharedFor);
     if (!m_answeredAt || !m_isOwnAnswer || !isOfInterest)
         return std::nullopt;
-    return runner_limit_news { runner, m_limit, now - *m_answeredAt };
+    return runner_limit_update { runner, m_limit, now - *m_answeredAt };
 }
 
 }
--- a/serving/runner_limit.h
+++ b/serving/runner_limit.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "serving/runner_limit_news.h"
+#include "serving/runner_limit_update.h"
 #include "state/time.h"
 
 #include <cstddef>
@@ -16,8 +16,8 @@
     // An answer to this entry named this limit, or none.
     void onAnswer(std::optional<double> requestsPerSecond, time_point now);
 
-    // Another entry told of an answer.
-    void onNews(const runner_limit_news&, time_point now);
+    // Another entry got an answer.
+    void onUpdate(const runner_limit_update&, time_point now);
 
     // Sets the position of this entry among those that may use the runner, from 0, in an order on which all entries agree.
     void setPosition(std::size_t position, std::size_t entryCount);
@@ -30,8 +30,8 @@
     // The limit that was named last, for all entries together.
     const std::optional<double>& requestsPerSecond() const { return m_limit; }
 
-    // What to tell the other entries. Nothing if another entry has learned more lately.
-    std::optional<runner_limit_news> news(const runner_process_id&, time_point now) const;
+    // For the other entries. Nothing if another entry has learned more lately.
+    std::optional<runner_limit_update> update(const runner_process_id&, time_point now) const;
 
 private:
     bool isInForce(time_point now) const;
--- a/tests/fleet/fleet_message_test.cpp
+++ b/tests/fleet/fleet_message_test.cpp
@@ -149,8 +149,8 @@
             EXPECT_FALSE(quarantine.quarantineLeft(told.pool, { told.part }, now + std::chrono::hours(2)));
         }
         runner_limit limit;
-        for (const runner_limit_news& news : heartbeat->runnerLimits) {
-            limit.onNews(news, now);
+        for (const runner_limit_update& update : heartbeat->runnerLimits) {
+            limit.onUpdate(update, now);
             EXPECT_FALSE(limit.sendable(now + std::chrono::minutes(1)));
         }
     }
--- a/tests/fleet/prompt_quarantine_test.cpp
+++ b/tests/fleet/prompt_quarantine_test.cpp
@@ -191,10 +191,10 @@
 // Guards against heartbeats and memory that grow with the number of requests on a crashed runner.
 TEST_F(prompt_quarantine_decision, thousandsOfPartsOnCrashedRunners_evidenceBounded)
 {
-    constexpr std::size_t maxToldParts = 12;
+    constexpr std::size_t maxSharedParts = 12;
     for (std::uint64_t id = 1; id < 5000; ++id)
         crash(id % 7, partsOf({ id, id + 1, id + 2 }));
-    EXPECT_LE(m_quarantine.evidence(m_now).size(), maxToldParts);
+    EXPECT_LE(m_quarantine.evidence(m_now).size(), maxSharedParts);
 }
 
 // Several entries that exchange their evidence, each with its own requests.
--- a/tests/fleet/runner_limit_test.cpp
+++ b/tests/fleet/runner_limit_test.cpp
@@ -23,7 +23,7 @@
 
 const runner_process_id process(7);
 
-runner_limit_news newsOf(std::optional<double> limit, duration age)
+runner_limit_update updateOf(std::optional<double> limit, duration age)
 {
     return { process, limit, age };
 }
@@ -78,7 +78,7 @@
 }
 
 // Guards against a runner that stays unused by entries that cannot see the end of its limit.
-TEST_F(runner_limit_share, limitEnds_entryThatSendsNothing_learnsFromNews)
+TEST_F(runner_limit_share, limitEnds_entryThatSendsNothing_learnsFromUpdate)
 {
     time_point now { seconds(100) };
     runner_limit user;
@@ -89,37 +89,37 @@
     EXPECT_EQ(other.sendable(now + seconds(60)), 0U);
     now += seconds(60);
     user.onAnswer(std::nullopt, now);
-    const auto news = user.news(process, now + milliseconds(400));
-    ASSERT_TRUE(news);
-    other.onNews(*news, now + milliseconds(401));
+    const auto update = user.update(process, now + milliseconds(400));
+    ASSERT_TRUE(update);
+    other.onUpdate(*update, now + milliseconds(401));
     EXPECT_FALSE(other.sendable(now + milliseconds(401)));
-    EXPECT_FALSE(user.news(process, now + seconds(30)));
+    EXPECT_FALSE(user.update(process, now + seconds(30)));
 }
 
-// Guards against old news that brings back a limit that has ended, for this entry and for all that hear of it.
-TEST_F(runner_limit_share, answerWithoutLimit_olderNewsOfLimit_ignoredAndContradicted)
+// Guards against an old update that brings back a limit that has ended, for this entry and for all that receive it.
+TEST_F(runner_limit_share, answerWithoutLimit_olderUpdateWithLimit_ignoredAndContradicted)
 {
     const time_point now { seconds(100) };
     runner_limit entry;
     entry.onAnswer(std::nullopt, now);
-    EXPECT_FALSE(entry.news(process, now));
-    entry.onNews(newsOf(2.0, seconds(1)), now + milliseconds(500));
+    EXPECT_FALSE(entry.update(process, now));
+    entry.onUpdate(updateOf(2.0, seconds(1)), now + milliseconds(500));
     EXPECT_FALSE(entry.sendable(now + milliseconds(500)));
-    const auto news = entry.news(process, now + milliseconds(500));
-    ASSERT_TRUE(news);
-    EXPECT_FALSE(news->requestsPerSecond);
+    const auto update = entry.update(process, now + milliseconds(500));
+    ASSERT_TRUE(update);
+    EXPECT_FALSE(update->requestsPerSecond);
 }
 
-// Guards against a limit that an entry heard of from one that has gone, and that nobody will end.
-TEST_F(runner_limit_share, limitOnlyHeardOf_noFurtherNews_forgotten)
+// Guards against a limit that an entry received from one that has gone, and that nobody will end.
+TEST_F(runner_limit_share, limitOnlyReceived_noFurtherUpdate_forgotten)
 {
     const time_point now { seconds(100) };
     runner_limit entry;
     entry.setPosition(3, 4);
-    entry.onNews(newsOf(1.0, {}), now);
+    entry.onUpdate(updateOf(1.0, {}), now);
     EXPECT_EQ(entry.sendable(now + seconds(1)), 0U);
     EXPECT_FALSE(entry.sendable(now + seconds(6)));
-    EXPECT_FALSE(entry.news(process, now + seconds(1))) << "hearsay is not passed on";
+    EXPECT_FALSE(entry.update(process, now + seconds(1))) << "only the entry that got the answer passes it on";
 }
 
 class limited_runner_choice : public testing::Test {
@@ -202,8 +202,8 @@
     m_directory.onNamedLimit(runner_id("1"), 0.1, m_now);
     m_directory.setRunners({ runnerOf("1", 2), runnerOf("2") }, m_now);
     EXPECT_GT(send(20), 5);
-    EXPECT_TRUE(m_directory.limitNews(m_now).empty());
-    EXPECT_FALSE(m_directory.onLimitNews({ processOf(runnerOf("1", 1)), 0.1, {} }, m_now));
+    EXPECT_TRUE(m_directory.limitUpdates(m_now).empty());
+    EXPECT_FALSE(m_directory.onLimitUpdate({ processOf(runnerOf("1", 1)), 0.1, {} }, m_now));
 }
 
 }
