--- a/fleet/entry_context.cpp
+++ b/fleet/entry_context.cpp
@@ -15,6 +15,9 @@
 // Queued requests are checked this often even without new reports from runners.
 constexpr std::chrono::milliseconds dispatchInterval { 20 };
 
+// The number of live entries is known at least this often.
+constexpr duration entryCountInterval = std::chrono::seconds(1);
+
 }
 
 entry_context::entry_context(boost::asio::any_io_executor executor, const platform::settings& settings, event_log& log, process_metrics& metrics)
@@ -25,6 +28,7 @@
     , m_random(std::random_device {}())
     , m_runners([this] { return std::uniform_real_distribution<double>()(m_random); })
     , m_promptGuard(m_executor, log, metrics, [this] { return std::uniform_real_distribution<double>()(m_random); })
+    , m_recentEntries(settings.retries.window + entryCountInterval)
     , m_startedAt(steadyNow())
     , m_dispatchTimer(m_executor)
 {
@@ -56,8 +60,8 @@
 
 void entry_context::setEntries(std::vector<std::string> addresses)
 {
-    m_entriesAlive = addresses.size();
-    m_runners.setEntryCount(m_entriesAlive);
+    m_recentEntries.add(addresses.size(), steadyNow());
+    m_runners.setEntryCount(addresses.size());
     m_runners.setEntries(m_settings.ip, std::move(addresses));
 }
 
--- a/fleet/entry_context.h
+++ b/fleet/entry_context.h
@@ -4,6 +4,7 @@
 #include "platform/settings.h"
 #include "serving/admission_queue.h"
 #include "serving/demand_share.h"
+#include "serving/recent_maximum.h"
 #include "serving/retry_budget_share.h"
 #include "serving/runner_directory.h"
 #include "state/ids.h"
@@ -46,7 +47,8 @@
     event_log& log() { return m_log; }
     process_metrics& metrics() { return m_metrics; }
     const boost::asio::any_io_executor& executor() const { return m_executor; }
-    std::size_t entriesAlive() const { return m_entriesAlive; }
+    // The most entries that were alive at once in the window of the retry budget. The retries of those that have stopped still count.
+    std::size_t entriesSharingRetries() const { return m_recentEntries.value(); }
 
     retry_budget_share& retryBudgetOf(const pool_id&);
     admission_queue& queueOf(const pool_id& pool) { return m_queues[pool]; }
@@ -107,7 +109,7 @@
     std::unordered_map<pool_id, retry_budget_share> m_retryBudgets;
     std::unordered_map<std::string, duration> m_maxCallerTimeouts;
     std::uint64_t m_lastTicket = 0;
-    std::size_t m_entriesAlive = 1;
+    recent_maximum m_recentEntries;
     time_point m_startedAt;
     boost::asio::steady_timer m_dispatchTimer;
     bool m_isDispatchScheduled = false;
--- a/fleet/request_relay.cpp
+++ b/fleet/request_relay.cpp
@@ -505,7 +505,7 @@
     failover.maxAttempts = m_route->maxAttempts;
     failover.attemptsNotRun = m_attemptsNotRun;
     failover.mayCrashRunners = hasRunnerCrashed && m_context.promptGuard().isSuspect(m_pool, m_request.promptParts);
-    failover.retryAllowed = retryBudget.canRetry(m_context.entriesAlive(), now);
+    failover.retryAllowed = retryBudget.canRetry(m_context.entriesSharingRetries(), now);
     failover.timeLeft = timeLeft(now);
     const failover_action action = chooseFailoverAction(failover);
     m_context.log().write("attempt_failed", { { "request", m_request.attemptId }, { "runner", m_runner.value() }, { "failure", nameOf(failure) }, { "why", why }, { "after_ms", milliseconds(now - m_sentAt) }, { "sent", static_cast<std::int64_t>(m_attemptsSent) }, { "answer_begun", m_hasReceivedEvent }, { "runner_ended", hasRunnerCrashed }, { "retry_allowed", failover.retryAllowed }, { "again", action == failover_action::TryAnother } });
--- a/serving/retry_budget_share.cpp
+++ b/serving/retry_budget_share.cpp
@@ -26,11 +26,11 @@
     dropExpired(now);
 }
 
-bool retry_budget_share::canRetry(std::size_t entriesAlive, time_point now)
+bool retry_budget_share::canRetry(std::size_t recentEntries, time_point now)
 {
     dropExpired(now);
     const bool isNewEntry = now - m_startedAt < m_settings.window;
-    const double slackFraction = isNewEntry ? newEntrySlackFraction : usedSlackFraction / static_cast<double>(std::max<std::size_t>(entriesAlive, 1));
+    const double slackFraction = isNewEntry ? newEntrySlackFraction : usedSlackFraction / static_cast<double>(std::max<std::size_t>(recentEntries, 1));
     const double slack = m_settings.slack * slackFraction;
     const double allowed = m_settings.ratio * static_cast<double>(m_requests.size()) + slack;
     return static_cast<double>(m_retries.size()) + 1 <= allowed;
--- a/serving/retry_budget_share.h
+++ b/serving/retry_budget_share.h
@@ -24,8 +24,8 @@
 
     void onRequest(time_point now);
 
-    // Whether one more retry stays within this entry's share, given the number of live entries.
-    bool canRetry(std::size_t entriesAlive, time_point now);
+    // Whether one more retry stays within this entry's share, given the most entries that were alive at once in the window.
+    bool canRetry(std::size_t recentEntries, time_point now);
 
     void recordRetry(time_point now);
 
--- a/tests/fleet/serving_decisions_test.cpp
+++ b/tests/fleet/serving_decisions_test.cpp
@@ -1,6 +1,7 @@
 #include "serving/event_splitter.h"
 #include "serving/failover_action.h"
 #include "serving/list_reconciliation.h"
+#include "serving/recent_maximum.h"
 #include "serving/retry_budget_share.h"
 #include "serving/route_index.h"
 #include "serving/runner_listing.h"
@@ -115,6 +116,50 @@
     }
 }
 
+// Guards against entries that each take over the share of those that have just stopped: all of them spent it.
+TEST_F(retry_budget_window, fourEntriesStopInTurn_allRunnersFail_sumStaysWithinBudget)
+{
+    const retry_budget_share::settings settings { 0.2, 88, seconds(10) };
+    constexpr std::size_t entryCount = 4;
+    std::vector<retry_budget_share> entries(entryCount, retry_budget_share(settings, at(seconds(-60))));
+    std::vector<recent_maximum> counts(entryCount, recent_maximum(settings.window + seconds(1)));
+    std::size_t retries = 0;
+    std::size_t requests = 0;
+    for (milliseconds now { 0 }; now < seconds(10); now += milliseconds(10)) {
+        // One after the other stops in the first seconds.
+        const std::size_t alive = entryCount - std::min<std::size_t>(static_cast<std::size_t>(now / seconds(1)), entryCount - 1);
+        for (std::size_t i = 0; i < alive; ++i) {
+            if (now.count() % 500 == 0)
+                counts[i].add(alive, at(now));
+            entries[i].onRequest(at(now));
+            ++requests;
+            while (entries[i].canRetry(counts[i].value(), at(now))) {
+                entries[i].recordRetry(at(now));
+                ++retries;
+            }
+        }
+    }
+    EXPECT_LE(static_cast<double>(retries), settings.ratio * static_cast<double>(requests) + settings.slack);
+}
+
+class recent_maximum_of_window : public testing::Test { };
+
+TEST_F(recent_maximum_of_window, valueFalls_maximum_fallsAfterTheWindow)
+{
+    recent_maximum maximum(seconds(10));
+    EXPECT_EQ(maximum.value(), 0U);
+    maximum.add(4, at(seconds(0)));
+    maximum.add(2, at(seconds(1)));
+    maximum.add(3, at(seconds(2)));
+    EXPECT_EQ(maximum.value(), 4U);
+    maximum.add(1, at(seconds(11)));
+    EXPECT_EQ(maximum.value(), 3U);
+    maximum.add(1, at(seconds(20)));
+    EXPECT_EQ(maximum.value(), 1U);
+    maximum.add(5, at(seconds(21)));
+    EXPECT_EQ(maximum.value(), 5U);
+}
+
 class event_split : public testing::Test { };
 
 // Guards against events that are split or returned twice, wherever the received data is divided.
