Log response heads that a request cannot simply be answered with

Three hypotheses could not be told apart from the logs: an error answer that arrives after a stream has begun, the head of a response that was not accepted and is used later, and a refusal that belongs to another attempt. 'response_unexpected' now says for which attempt such a head was, its status, whether it was signed, and whether a stream had begun.

--- a/fleet/request_relay.cpp
+++ b/fleet/request_relay.cpp
@@ -40,6 +40,7 @@
 // A caller whose timeout is below this part of the longest timeout seen on its route is taken to have been rejected before.
 constexpr double callerRetryTimeoutRatio = 0.97;
 
+constexpr int okStatus = 200;
 constexpr int firstServerErrorStatus = 500;
 
 constexpr const char* quarantinedReason = "a part of the prompt has crashed runners";
@@ -298,6 +299,7 @@
 void request_relay::onHead(const http_response_head& response)
 {
     m_head = platform::readResponseHead(response);
+    logUnexpectedHead();
     if (m_head->isFromWrongRunner) {
         onAttemptFailed(attempt_failure::WrongRunner, "response from another runner than addressed");
         return;
@@ -313,10 +315,19 @@
         return;
     }
     m_context.metrics().recordTimeToFirstByte(steadyNow() - m_arrivedAt);
-    if (isStream(m_route->retrySemantics) && m_head->status == 200)
+    if (isStream(m_route->retrySemantics) && m_head->status == okStatus)
         startStream();
 }
 
+void request_relay::logUnexpectedHead() const
+{
+    const bool isSuccess = m_head->isSigned && !m_head->isEncoded && m_head->status < firstServerErrorStatus;
+    const bool isContinuation = !m_isResponseStarted || m_head->status == okStatus;
+    if (isSuccess && isContinuation && m_head->attemptId == m_request.attemptId)
+        return;
+    m_context.log().write("response_unexpected", { { "request", m_request.attemptId }, { "runner", m_runner.value() }, { "status", static_cast<std::int64_t>(m_head->status) }, { "for_attempt", m_head->attemptId }, { "signed", m_head->isSigned }, { "not_executed", m_head->isNotExecuted }, { "stream_begun", m_isResponseStarted } });
+}
+
 void request_relay::startStream()
 {
     m_isRelayingStream = true;
--- a/fleet/request_relay.h
+++ b/fleet/request_relay.h
@@ -53,6 +53,8 @@
     void enqueue();
     void startAttempt(const runner_id&);
     void onHead(const http_response_head&);
+    // Logs the head of a response that the request cannot simply be answered with.
+    void logUnexpectedHead() const;
     void startStream();
     void onBody(std::string_view);
     void onEvents(std::string_view);
