Never write another answer into a stream that has begun

Cause: when a stream's runner fails, the request is resumed at another runner. If that one answered with anything but 200, the answer was not taken for a stream but buffered and, once complete, written to the caller with its own head, although the head of the first answer had long been sent. Only a server error on an idempotent route was handled as a failed attempt. The class of fault: a decision about an answer that doesn't ask what the caller has received already.

Fix: once a response has begun, a head that does not continue it ends the attempt, so that failover decides: another runner if attempts are left, else the connection is closed and the stream does not look complete.

--- a/fleet/request_relay.cpp
+++ b/fleet/request_relay.cpp
@@ -314,8 +314,13 @@
         onAttemptFailed(attempt_failure::OutcomeUnknown, "response is unsigned, encoded or for another attempt");
         return;
     }
+    const bool isEvents = isStream(m_route->retrySemantics) && m_head->status == okStatus;
+    if (m_isResponseStarted && !isEvents) {
+        onAttemptFailed(attempt_failure::ServerError, "runner does not continue the stream");
+        return;
+    }
     m_context.metrics().recordTimeToFirstByte(steadyNow() - m_arrivedAt);
-    if (isStream(m_route->retrySemantics) && m_head->status == okStatus)
+    if (isEvents)
         startStream();
 }
 
--- a/tests/fleet/entry_fixture.h
+++ b/tests/fleet/entry_fixture.h
@@ -13,7 +13,9 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 
 #include <gtest/gtest.h>
 
@@ -185,6 +187,25 @@
         return result;
     }
 
+    // Sends a request and returns all bytes that the caller receives until the entry closes the connection.
+    std::string receiveAll(const std::string& bytes)
+    {
+        using boost::asio::ip::tcp;
+        tcp::socket socket(m_context);
+        const std::size_t colon = m_settings.callerAddress.find(':');
+        const auto port = static_cast<unsigned short>(std::stoi(m_settings.callerAddress.substr(colon + 1)));
+        socket.connect({ boost::asio::ip::make_address("127.0.0.1"), port });
+        boost::asio::write(socket, boost::asio::buffer(bytes));
+        std::string received;
+        bool isClosed = false;
+        boost::asio::async_read(socket, boost::asio::dynamic_buffer(received), [&](const boost::system::error_code&, std::size_t) { isClosed = true; });
+        const auto begin = std::chrono::steady_clock::now();
+        while (!isClosed && std::chrono::steady_clock::now() - begin < std::chrono::seconds(12))
+            m_context.run_one_for(std::chrono::milliseconds(100));
+        EXPECT_TRUE(isClosed) << "the connection stays open";
+        return received;
+    }
+
     void runFor(std::chrono::milliseconds time)
     {
         const auto end = std::chrono::steady_clock::now() + time;
