Forget the head of a response that is not accepted

What callers saw: an answer that was not their own, or not whole (MIXED): the status, signature and attempt id of another request's failure with an empty body, or the head of a failure whose body had broken off.

Cause: the head of each response was kept until the next attempt began. If a failed attempt was to be repeated and no runner had a free slot before the request expired, the request ended with "the runner's own failure", which was any kept head with a signature and a status of 500 or more: also one that belonged to another attempt, had broken off, or was a refusal. Its body had been dropped. The same happened when a prompt part was quarantined while such an answer was being received. The class of fault: state of a rejected input that stays where accepted input is kept. It takes a faulty answer and a full pool at the same moment, so it is rare.

Fix: a response that is not forwarded is forgotten with its head. Only a complete server error is kept, and forwarded if no other runner answers.

--- a/fleet/request_relay.cpp
+++ b/fleet/request_relay.cpp
@@ -209,7 +209,7 @@
     if (m_isResponseStarted) {
         m_caller->abort();
         finish("broken_off", 0, why);
-    } else if (m_head && m_head->status >= firstServerErrorStatus && m_head->isSigned) {
+    } else if (m_head) {
         m_caller->respond(m_head->status, m_head->forwardedHeaders, m_body);
         finish("answered", m_head->status, why);
     } else if (m_mayHaveRun) {
@@ -236,6 +236,7 @@
     if (m_exchange) {
         cancelExchange();
         m_context.runners().onAttemptAbandoned(m_runner);
+        dropResponse();
         m_mayHaveRun = true;
     }
     endUnserved(quarantinedReason, left);
@@ -473,7 +474,7 @@
 void request_relay::onAttemptFailed(attempt_failure failure, const char* why)
 {
     cancelExchange();
-    if (failure == attempt_failure::OutcomeUnknown)
+    if (failure != attempt_failure::ServerError)
         dropResponse();
     const runner_record* record = m_context.runners().find(m_runner);
     const bool isCrashPossible = record && mayRunnerHaveCrashed(failure);
@@ -491,6 +492,7 @@
 
 void request_relay::dropResponse()
 {
+    m_head.reset();
     m_body.clear();
     m_body.shrink_to_fit();
     m_events.dropPartialEvent();
--- a/fleet/request_relay.h
+++ b/fleet/request_relay.h
@@ -65,7 +65,7 @@
     bool hasStreamEndedEarly() const;
     void onResponseComplete();
     void onAttemptFailed(attempt_failure, const char* why);
-    // Frees what is buffered of a response that is not forwarded.
+    // Forgets a response that is not forwarded, and frees what is buffered of it.
     void dropResponse();
     // Whether an attempt that failed may have ended its runner, or lost it before its answer began.
     bool mayRunnerHaveCrashed(attempt_failure) const;
@@ -104,6 +104,7 @@
     std::shared_ptr<runner_exchange> m_exchange;
     runner_id m_runner;
     time_point m_sentAt;
+    // Of the response that is being received, or of a complete server error that is forwarded if no other runner answers.
     std::optional<runner_response_head> m_head;
     std::string m_body;
     // Bytes of the response that are counted in entry_context::bufferedResponseBytes.
