--- a/tests/fleet/entry_rejected_response_test.cpp
+++ b/tests/fleet/entry_rejected_response_test.cpp
@@ -59,6 +59,13 @@
     EXPECT_GT(std::stod(result.fields.at("Retry-After")), 0);
 }
 
+// Guards against a success that reaches its caller with an empty signature.
+TEST_F(entry_rejected_response, successWithEmptySignature_notForwarded)
+{
+    start(respondsWith(200, "who says so", "Attempt-Id: a1\r\nServer-Seal: \r\n"));
+    EXPECT_EQ(lookUp().status, 502);
+}
+
 // Guards against losing a runner's own failure, which says that the request has run.
 TEST_F(entry_rejected_response, completeFailure_noOtherRunner_forwardedWhole)
 {
