--- /dev/null
+++ b/tests/fleet/runner_exchange_test.cpp
@@ -0,0 +1,113 @@
+#include "relay/http_response_head.h"
+#include "relay/runner_exchange.h"
+#include "tests/support/scripted_server.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace sardinelb::test {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// One exchange with a runner that sends given bytes and then closes the connection.
+class exchange_with_runner : public testing::Test {
+protected:
+    struct outcome {
+        int status = 0;
+        std::size_t heads = 0;
+        std::string body;
+        runner_exchange::result result = runner_exchange::result::NotConnected;
+        bool isEnded = false;
+    };
+
+    runner_exchange::hooks hooksFor(outcome& received)
+    {
+        return {
+            [&received](const http_response_head& head) {
+                received.status = head.status;
+                ++received.heads;
+            },
+            [&received](std::string_view part) { received.body += part; },
+            [&received](runner_exchange::result result) {
+                received.result = result;
+                received.isEnded = true;
+            },
+        };
+    }
+
+    outcome exchange(const std::string& response, const std::string& method = "GET")
+    {
+        const scripted_server runner([response](raw_connection& connection) {
+            connection.receiveUntil("\r\n\r\n");
+            connection.send(response);
+            connection.shutdownSend();
+            connection.receiveAll();
+        });
+        outcome received;
+        const auto call = std::make_shared<runner_exchange>(m_context.get_executor(), hooksFor(received));
+        call->start("127.0.0.1:" + std::to_string(runner.port()), method + " / HTTP/1.1\r\n\r\n");
+        runUntilEnded(received);
+        return received;
+    }
+
+    void runUntilEnded(const outcome& received)
+    {
+        m_context.restart();
+        const auto begin = std::chrono::steady_clock::now();
+        while (!received.isEnded && std::chrono::steady_clock::now() - begin < seconds(5))
+            m_context.run_one_for(milliseconds(20));
+        EXPECT_TRUE(received.isEnded);
+    }
+
+    boost::asio::io_context m_context;
+};
+
+// Guards against responses that end early, or whose framing is contradictory, and look complete.
+TEST_F(exchange_with_runner, framing_wrong_broken)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::vector<std::string> responses {
+        "",
+        "HTTP/1.1 200 OK\r\nX: y\r\n",
+        head + "Content-Length: 5\r\n\r\nok",
+        head + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nok!",
+        head + "Content-Length: -1\r\n\r\nok",
+        head + "Content-Length: x\r\n\r\nok",
+        head + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        head + "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+        head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n",
+        head + "Transfer-Encoding: chunked\r\n\r\n-2\r\nok\r\n0\r\n\r\n",
+        head + "Transfer-Encoding: chunked\r\n\r\nxyz\r\nok\r\n0\r\n\r\n",
+        head + "Transfer-Encoding: chunked\r\n\r\n2\r\nokay\r\n0\r\n\r\n",
+        head + "Transfer-Encoding: chunked\r\n\r\nffffffffffffffffff\r\nok\r\n0\r\n\r\n",
+        head + "Transfer-Encoding: chunked\r\n\r\n2\nok\n0\n\n",
+        "HTTP/1.1 200 OK\nContent-Length: 2\n\nok",
+        "HTTP/1.1 200 OK\r\nX: " + std::string(65536, 'x') + "\r\nContent-Length: 2\r\n\r\nok",
+        std::string("HTTP/1.1 200 OK\r\nX: a\0b\r\nContent-Length: 2\r\n\r\nok", 47),
+        "HTTP/3.7 200 OK\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 2x0 OK\r\nContent-Length: 2\r\n\r\nok",
+        "ICY 200 OK\r\nContent-Length: 2\r\n\r\nok",
+        std::string(100, '\0'),
+    };
+    for (const std::string& response : responses)
+        EXPECT_EQ(exchange(response).result, runner_exchange::result::Broken) << response.substr(0, 200);
+}
+
+// Guards against counting the bytes after a complete response to its body.
+TEST_F(exchange_with_runner, response_secondOneFollows_onlyFirstDelivered)
+{
+    const std::string second = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother";
+    EXPECT_EQ(exchange("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" + second).body, "ok");
+    EXPECT_EQ(exchange("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;a=b\r\nok\r\n0\r\nX: y\r\n\r\n" + second).body, "ok");
+    EXPECT_EQ(exchange("HTTP/1.1 204 No Content\r\nContent-Length: 2\r\n\r\nok" + second).body, "");
+}
+
+}
