Reserve no memory for the length that a runner states

The body type of the parser reserves the stated length, which throws std::bad_alloc out of the event loop; nothing catches it, and all callers of the entry lose their connections. Evidence: the new test throws std::bad_alloc on the code before. A length of 8 MB cost that much memory for each response as well.

--- a/relay/runner_exchange.cpp
+++ b/relay/runner_exchange.cpp
@@ -6,9 +6,9 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <limits>
 
@@ -25,6 +25,37 @@
 
 constexpr std::size_t readSizeBytes = 4096;
 
+// The part of a body that has been received and not delivered yet. Unlike http::string_body, it reserves no memory for the
+// Content-Length, which a runner in trouble may state wrongly.
+struct received_body {
+    using value_type = std::string;
+
+    class reader {
+    public:
+        template <bool isRequest, class Fields>
+        reader(http::header<isRequest, Fields>&, value_type& body)
+            : m_body(body)
+        {
+        }
+
+        static void init(const boost::optional<std::uint64_t>&, error_code& error) { error = {}; }
+
+        template <class Buffers>
+        std::size_t put(const Buffers& buffers, error_code& error)
+        {
+            error = {};
+            for (const asio::const_buffer part : boost::beast::buffers_range_ref(buffers))
+                m_body.append(static_cast<const char*>(part.data()), part.size());
+            return boost::beast::buffer_bytes(buffers);
+        }
+
+        static void finish(error_code& error) { error = {}; }
+
+    private:
+        value_type& m_body;
+    };
+};
+
 }
 
 struct runner_exchange::implementation {
@@ -42,7 +73,7 @@
     hooks callbacks;
     std::string request;
     boost::beast::flat_buffer input;
-    http::response_parser<http::string_body> parser;
+    http::response_parser<received_body> parser;
     bool isFinished = false;
     bool isPaused = false;
     bool isReading = false;
--- a/tests/fleet/runner_exchange_test.cpp
+++ b/tests/fleet/runner_exchange_test.cpp
@@ -69,6 +69,13 @@
     boost::asio::io_context m_context;
 };
 
+// Guards against reserving memory for a length that a runner only claims, which ends the process.
+TEST_F(exchange_with_runner, contentLength_hugeAndConnectionCloses_broken)
+{
+    for (const char* length : { "9000000000000000000", "18446744073709551615", "4000000000000" })
+        EXPECT_EQ(exchange(std::string("HTTP/1.1 200 OK\r\nContent-Length: ") + length + "\r\n\r\nok").result, runner_exchange::result::Broken) << length;
+}
+
 // Guards against responses that end early, or whose framing is contradictory, and look complete.
 TEST_F(exchange_with_runner, framing_wrong_broken)
 {
