Skip interim responses of runners

Seen: a runner that sends "100 Continue" or "103 Early Hints" before its answer has the interim head taken for the whole answer. Cause: the parser is done after a 1xx head, and the exchange ended as complete. Change: the exchange goes on with the next head; more than 16 interim heads end it as broken, as they may come without end. Evidence: the three new tests fail on the code before (status 100 instead of 200; complete instead of broken).

--- a/relay/runner_exchange.cpp
+++ b/relay/runner_exchange.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/http/parser.hpp>
 
 #include <limits>
+#include <optional>
 
 namespace sardinelb {
 
@@ -25,6 +26,12 @@
 
 constexpr std::size_t readSizeBytes = 4096;
 
+// Most interim (1xx) responses before the final one; a runner in trouble may send them without end.
+constexpr std::uint32_t maxInterimResponses = 16;
+
+constexpr unsigned firstInterimStatus = 100;
+constexpr unsigned firstFinalStatus = 200;
+
 // The part of a body that has been received and not delivered yet. Unlike http::string_body, it reserves no memory for the
 // Content-Length, which a runner in trouble may state wrongly.
 struct received_body {
@@ -64,8 +71,7 @@
         , timer(executor)
         , callbacks(std::move(handlers))
     {
-        parser.eager(true);
-        parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+        startResponse();
     }
 
     asio::ip::tcp::socket socket;
@@ -73,7 +79,8 @@
     hooks callbacks;
     std::string request;
     boost::beast::flat_buffer input;
-    http::response_parser<received_body> parser;
+    std::optional<http::response_parser<received_body>> parser;
+    std::uint32_t interimResponses = 0;
     bool isFinished = false;
     bool isPaused = false;
     bool isReading = false;
@@ -83,7 +90,10 @@
     void onConnected(const std::shared_ptr<runner_exchange>&, const error_code&);
     void read(const std::shared_ptr<runner_exchange>&);
     void onReceived(const std::shared_ptr<runner_exchange>&, const error_code&, std::size_t);
+    void startResponse();
     bool parse();
+    bool isInterimHead() const;
+    bool skipInterimHead();
     void deliverHead();
     void deliverBody();
     void end(result);
@@ -143,8 +153,8 @@
         // A response without Content-Length or chunked encoding ends with an orderly close of the connection.
         error_code failure;
         if (error == asio::error::eof && hasHead)
-            parser.put_eof(failure);
-        const bool isComplete = error == asio::error::eof && hasHead && !failure && parser.is_done();
+            parser->put_eof(failure);
+        const bool isComplete = error == asio::error::eof && hasHead && !failure && parser->is_done();
         end(isComplete ? result::Complete : result::Broken);
         return;
     }
@@ -155,21 +165,48 @@
     }
     if (isFinished)
         return;
-    if (parser.is_done())
+    if (parser->is_done())
         end(result::Complete);
     else
         read(self);
 }
 
+void runner_exchange::implementation::startResponse()
+{
+    parser.emplace();
+    parser->eager(true);
+    parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+}
+
+bool runner_exchange::implementation::isInterimHead() const
+{
+    if (hasHead || !parser->is_header_done())
+        return false;
+    const unsigned status = parser->get().result_int();
+    return status >= firstInterimStatus && status < firstFinalStatus;
+}
+
+bool runner_exchange::implementation::skipInterimHead()
+{
+    ++interimResponses;
+    startResponse();
+    return interimResponses <= maxInterimResponses;
+}
+
 bool runner_exchange::implementation::parse()
 {
-    while (input.size() > 0 && !parser.is_done() && !isFinished) {
+    while (input.size() > 0 && !parser->is_done() && !isFinished) {
         error_code error;
-        const std::size_t consumedBytes = parser.put(input.data(), error);
+        const std::size_t consumedBytes = parser->put(input.data(), error);
         input.consume(consumedBytes);
         if (error && error != http::error::need_more)
             return false;
-        if (!hasHead && parser.is_header_done())
+        if (isInterimHead()) {
+            if (!skipInterimHead())
+                return false;
+            continue;
+        }
+        if (!hasHead && parser->is_header_done())
             deliverHead();
         deliverBody();
         if (consumedBytes == 0)
@@ -182,15 +219,15 @@
 {
     hasHead = true;
     http_response_head head;
-    head.status = static_cast<int>(parser.get().result_int());
-    for (const auto& field : parser.get())
+    head.status = static_cast<int>(parser->get().result_int());
+    for (const auto& field : parser->get())
         head.fields.push_back({ std::string(field.name_string()), std::string(field.value()) });
     callbacks.onHead(head);
 }
 
 void runner_exchange::implementation::deliverBody()
 {
-    std::string& body = parser.get().body();
+    std::string& body = parser->get().body();
     if (!isFinished && !body.empty())
         callbacks.onBody(body);
     body.clear();
--- a/relay/runner_exchange.h
+++ b/relay/runner_exchange.h
@@ -24,6 +24,7 @@
     };
 
     struct hooks {
+        // Called with the head of the final response. Interim (1xx) responses are skipped.
         std::function<void(const http_response_head&)> onHead;
         // Called with each part of the body, without transfer framing.
         std::function<void(std::string_view)> onBody;
--- a/tests/fleet/runner_exchange_test.cpp
+++ b/tests/fleet/runner_exchange_test.cpp
@@ -69,6 +69,32 @@
     boost::asio::io_context m_context;
 };
 
+// Guards against taking an interim response for the final one.
+TEST_F(exchange_with_runner, response_interimHeadsFirst_skipped)
+{
+    const outcome received = exchange("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    EXPECT_EQ(received.result, runner_exchange::result::Complete);
+    EXPECT_EQ(received.heads, 1U);
+    EXPECT_EQ(received.status, 200);
+    EXPECT_EQ(received.body, "ok");
+}
+
+TEST_F(exchange_with_runner, response_onlyInterimHead_broken)
+{
+    const outcome received = exchange("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n");
+    EXPECT_EQ(received.result, runner_exchange::result::Broken);
+    EXPECT_EQ(received.heads, 0U);
+}
+
+// Guards against an exchange that a runner keeps busy with interim responses without end.
+TEST_F(exchange_with_runner, response_manyInterimHeads_broken)
+{
+    std::string heads;
+    for (int i = 0; i < 1000; ++i)
+        heads += "HTTP/1.1 100 Continue\r\n\r\n";
+    EXPECT_EQ(exchange(heads + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").result, runner_exchange::result::Broken);
+}
+
 // Guards against reserving memory for a length that a runner only claims, which ends the process.
 TEST_F(exchange_with_runner, contentLength_hugeAndConnectionCloses_broken)
 {
