Reject responses of runners whose status is no final one

Cause: the parser accepts any three digits. Change: an answer with a status outside 200..599, and 101 among the interim ones, ends the exchange as broken before its head is delivered. Evidence: the new test fails on the code before for each of the five (complete, one head delivered).

--- a/relay/runner_exchange.cpp
+++ b/relay/runner_exchange.cpp
@@ -31,6 +31,10 @@
 
 constexpr unsigned firstInterimStatus = 100;
 constexpr unsigned firstFinalStatus = 200;
+constexpr unsigned lastFinalStatus = 599;
+
+// Switching Protocols. No request asks for it, and what follows it is no HTTP.
+constexpr unsigned switchingProtocolsStatus = 101;
 
 // The part of a body that has been received and not delivered yet. Unlike http::string_body, it reserves no memory for the
 // Content-Length, which a runner in trouble may state wrongly.
@@ -94,6 +98,7 @@
     bool parse();
     bool isInterimHead() const;
     bool skipInterimHead();
+    bool isHeadValid() const;
     void deliverHead();
     void deliverBody();
     void end(result);
@@ -183,7 +188,13 @@
     if (hasHead || !parser->is_header_done())
         return false;
     const unsigned status = parser->get().result_int();
-    return status >= firstInterimStatus && status < firstFinalStatus;
+    return status >= firstInterimStatus && status < firstFinalStatus && status != switchingProtocolsStatus;
+}
+
+bool runner_exchange::implementation::isHeadValid() const
+{
+    const unsigned status = parser->get().result_int();
+    return status >= firstFinalStatus && status <= lastFinalStatus;
 }
 
 bool runner_exchange::implementation::skipInterimHead()
@@ -206,8 +217,11 @@
                 return false;
             continue;
         }
-        if (!hasHead && parser->is_header_done())
+        if (!hasHead && parser->is_header_done()) {
+            if (!isHeadValid())
+                return false;
             deliverHead();
+        }
         deliverBody();
         if (consumedBytes == 0)
             break;
--- a/tests/fleet/runner_exchange_test.cpp
+++ b/tests/fleet/runner_exchange_test.cpp
@@ -95,6 +95,16 @@
     EXPECT_EQ(exchange(heads + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").result, runner_exchange::result::Broken);
 }
 
+// Guards against a status that cannot be forwarded, such as one that asks to switch protocols or has no three digits.
+TEST_F(exchange_with_runner, response_statusOutOfRange_broken)
+{
+    for (const char* status : { "000", "099", "101", "600", "999" }) {
+        const outcome received = exchange(std::string("HTTP/1.1 ") + status + " X\r\nContent-Length: 2\r\n\r\nok");
+        EXPECT_EQ(received.result, runner_exchange::result::Broken) << status;
+        EXPECT_EQ(received.heads, 0U) << status;
+    }
+}
+
 // Guards against reserving memory for a length that a runner only claims, which ends the process.
 TEST_F(exchange_with_runner, contentLength_hugeAndConnectionCloses_broken)
 {
