Reject transfer codings of runners other than chunked

The field is hop-by-hop, so it is dropped, and the entry decodes nothing but chunks. Change: a head with any other coding, or with several, ends the exchange as broken before it is delivered.

--- a/relay/runner_exchange.cpp
+++ b/relay/runner_exchange.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/parser.hpp>
 
 #include <limits>
@@ -193,8 +194,11 @@
 
 bool runner_exchange::implementation::isHeadValid() const
 {
-    const unsigned status = parser->get().result_int();
-    return status >= firstFinalStatus && status <= lastFinalStatus;
+    const auto& head = parser->get();
+    if (head.result_int() < firstFinalStatus || head.result_int() > lastFinalStatus)
+        return false;
+    const auto codings = head.count(http::field::transfer_encoding);
+    return codings == 0 || (codings == 1 && boost::beast::iequals(head[http::field::transfer_encoding], "chunked"));
 }
 
 bool runner_exchange::implementation::skipInterimHead()
--- a/tests/fleet/runner_exchange_test.cpp
+++ b/tests/fleet/runner_exchange_test.cpp
@@ -112,6 +112,16 @@
         EXPECT_EQ(exchange(std::string("HTTP/1.1 200 OK\r\nContent-Length: ") + length + "\r\n\r\nok").result, runner_exchange::result::Broken) << length;
 }
 
+// Guards against delivering the bytes of a transfer coding as the body.
+TEST_F(exchange_with_runner, transferEncoding_otherThanChunked_broken)
+{
+    for (const char* coding : { "gzip", "gzip, chunked", "identity", "chunked, gzip", "chunked, chunked" }) {
+        const outcome received = exchange(std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: ") + coding + "\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+        EXPECT_EQ(received.result, runner_exchange::result::Broken) << coding;
+        EXPECT_EQ(received.heads, 0U) << coding;
+    }
+}
+
 // Guards against responses that end early, or whose framing is contradictory, and look complete.
 TEST_F(exchange_with_runner, framing_wrong_broken)
 {
