Expect no body in a runner's response to HEAD

Seen: a HEAD request whose answer states the length of the body that a GET would get, or chunks, ended in 502, or was held until the caller's deadline where the runner kept the connection: the exchange waited for a body that never comes. Change: the parser skips the body if the request is a HEAD. Evidence: the two new tests fail on the code before (broken instead of complete).

--- a/relay/runner_exchange.cpp
+++ b/relay/runner_exchange.cpp
@@ -76,7 +76,6 @@
         , timer(executor)
         , callbacks(std::move(handlers))
     {
-        startResponse();
     }
 
     asio::ip::tcp::socket socket;
@@ -182,6 +181,8 @@
     parser.emplace();
     parser->eager(true);
     parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+    // The response to HEAD has the framing fields of a body, but none.
+    parser->skip(request.starts_with("HEAD "));
 }
 
 bool runner_exchange::implementation::isInterimHead() const
@@ -278,6 +279,7 @@
 void runner_exchange::start(const std::string& address, std::string request)
 {
     m_implementation->request = std::move(request);
+    m_implementation->startResponse();
     m_implementation->connect(shared_from_this(), address);
 }
 
--- a/tests/fleet/runner_exchange_test.cpp
+++ b/tests/fleet/runner_exchange_test.cpp
@@ -122,6 +122,20 @@
     }
 }
 
+// Guards against waiting for a body that the response to a HEAD request does not have.
+TEST_F(exchange_with_runner, headRequest_responseWithLength_completeWithoutBody)
+{
+    const outcome received = exchange("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", "HEAD");
+    EXPECT_EQ(received.result, runner_exchange::result::Complete);
+    EXPECT_EQ(received.status, 200);
+    EXPECT_EQ(received.body, "");
+}
+
+TEST_F(exchange_with_runner, headRequest_chunkedResponse_completeWithoutBody)
+{
+    EXPECT_EQ(exchange("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "HEAD").result, runner_exchange::result::Complete);
+}
+
 // Guards against responses that end early, or whose framing is contradictory, and look complete.
 TEST_F(exchange_with_runner, framing_wrong_broken)
 {
