Read from a runner only once it is connected

Seen: an exchange that is resumed while it connects, and whose connection is refused, ends as broken instead of not connected. The caller then gets 502 (unknown) instead of a promise or another runner, and the attempt counts as one that may have run. Cause: resume() reads from the socket at once; the read reports the refusal before the connect does. request_relay's check of the backlog may call it when its timer has fired for the attempt before. Change: nothing is read before the connection stands. Evidence: resume_connectionRefused_notConnected fails on the code before (broken); resume_beforeConnected_responseComplete passed before and stays as a guard.

--- a/relay/runner_exchange.cpp
+++ b/relay/runner_exchange.cpp
@@ -86,6 +86,7 @@
     std::optional<http::response_parser<received_body>> parser;
     std::uint32_t interimResponses = 0;
     bool isFinished = false;
+    bool isConnected = false;
     bool isPaused = false;
     bool isReading = false;
     bool hasHead = false;
@@ -129,6 +130,7 @@
         end(result::NotConnected);
         return;
     }
+    isConnected = true;
     error_code ignored; // The connection works without TCP_NODELAY.
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     asio::async_write(socket, asio::buffer(request), [self](const error_code& failure, std::size_t) {
@@ -141,7 +143,7 @@
 
 void runner_exchange::implementation::read(const std::shared_ptr<runner_exchange>& self)
 {
-    if (isFinished || isPaused || isReading)
+    if (isFinished || !isConnected || isPaused || isReading)
         return;
     isReading = true;
     socket.async_read_some(input.prepare(readSizeBytes), [self](const error_code& error, std::size_t count) {
--- a/tests/fleet/runner_exchange_test.cpp
+++ b/tests/fleet/runner_exchange_test.cpp
@@ -136,6 +136,33 @@
     EXPECT_EQ(exchange("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "HEAD").result, runner_exchange::result::Complete);
 }
 
+// Guards against reading from a connection that is not established, which ends the exchange with an unknown outcome.
+TEST_F(exchange_with_runner, resume_beforeConnected_responseComplete)
+{
+    const scripted_server runner([](raw_connection& connection) {
+        connection.receiveUntil("\r\n\r\n");
+        connection.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    });
+    outcome received;
+    const auto call = std::make_shared<runner_exchange>(m_context.get_executor(), hooksFor(received));
+    call->start("127.0.0.1:" + std::to_string(runner.port()), "GET / HTTP/1.1\r\n\r\n");
+    call->resume();
+    runUntilEnded(received);
+    EXPECT_EQ(received.result, runner_exchange::result::Complete);
+    EXPECT_EQ(received.body, "ok");
+}
+
+TEST_F(exchange_with_runner, resume_connectionRefused_notConnected)
+{
+    const scripted_server unreachable;
+    outcome received;
+    const auto call = std::make_shared<runner_exchange>(m_context.get_executor(), hooksFor(received));
+    call->start("127.0.0.1:" + std::to_string(unreachable.port()), "GET / HTTP/1.1\r\n\r\n");
+    call->resume();
+    runUntilEnded(received);
+    EXPECT_EQ(received.result, runner_exchange::result::NotConnected);
+}
+
 // Guards against responses that end early, or whose framing is contradictory, and look complete.
 TEST_F(exchange_with_runner, framing_wrong_broken)
 {
