--- a/tests/fleet/entry_unframed_test.cpp
+++ b/tests/fleet/entry_unframed_test.cpp
@@ -79,4 +79,24 @@
     EXPECT_EQ(call(request("POST", "/write/x")).exchangeResult, runner_exchange::result::Broken);
 }
 
+// Guards against a second answer of the runner inside the caller's stream.
+TEST_F(entry_unframed, stream_secondAnswerInside_brokenOffBeforeIt)
+{
+    const auto runner = startRunner("r1", "id: 1\ndata: x\n\nHTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Seal: s.1\r\n\r\nid: 2\ndata: y\n\n");
+    start();
+    const caller_result result = call(request("POST", "/write/x"));
+    EXPECT_EQ(result.body, "id: 1\ndata: x\n\n");
+    EXPECT_EQ(result.exchangeResult, runner_exchange::result::Broken);
+}
+
+// Guards against a piece of a stream that the caller gets twice.
+TEST_F(entry_unframed, stream_eventRepeated_brokenOffBeforeIt)
+{
+    const auto runner = startRunner("r1", "id: 1\ndata: x\n\nid: 2\ndata: y\n\nid: 1\ndata: x\n\nid: 2\ndata: y\n\n");
+    start();
+    const caller_result result = call(request("POST", "/write/x"));
+    EXPECT_EQ(result.body, "id: 1\ndata: x\n\nid: 2\ndata: y\n\n");
+    EXPECT_EQ(result.exchangeResult, runner_exchange::result::Broken);
+}
+
 }
