End an attempt whose stream contains bytes that are no next event

The splitter takes nothing after such bytes, but the relay went on reading until the stream ended or was silent for 1.1 s. Now the attempt ends at once, and the stream is continued by another runner after the last whole event; a caller that resumes a stream itself gets no event that it has already. Ids that are no numbers cannot be compared and are accepted in any order.

runnerRepeatsAnEvent_continuedByTheNextRunnerAtOnce passes now; it was not run on the code before.

--- a/fleet/request_relay.cpp
+++ b/fleet/request_relay.cpp
@@ -130,6 +130,7 @@
         if (!error)
             self->onDeadline();
     });
+    m_events.resumeAfter(m_request.resumeAfterEvent);
     m_caller->setDisconnectHandler([self = shared_from_this()] { self->onCallerDisconnect(); });
     if (!m_request.promptParts.empty())
         m_context.promptGuard().addRequest(this, weak_from_this());
@@ -372,8 +373,14 @@
 {
     m_events.add(part);
     const std::string events = m_events.takeEvents();
-    if (events.empty())
-        return;
+    if (!events.empty())
+        forwardEvents(events);
+    if (m_events.isMalformed())
+        onAttemptFailed(attempt_failure::OutcomeUnknown, "stream contains bytes that are no next event");
+}
+
+void request_relay::forwardEvents(const std::string& events)
+{
     const time_point now = steadyNow();
     if (m_timeToFirstEvent == duration {})
         m_timeToFirstEvent = now - m_arrivedAt;
--- a/fleet/request_relay.h
+++ b/fleet/request_relay.h
@@ -58,6 +58,7 @@
     void startStream();
     void onBody(std::string_view);
     void onEvents(std::string_view);
+    void forwardEvents(const std::string&);
     void onExchangeEnd(runner_exchange::result);
     // Counts the buffered part of the response. Returns false if it is too long to buffer.
     bool updateBufferedBytes();
--- a/serving/event_splitter.cpp
+++ b/serving/event_splitter.cpp
@@ -132,7 +132,7 @@
 bool event_splitter::acceptId(std::string_view id)
 {
     const auto number = readEventNumber(id);
-    if (!number || (m_lastNumber && *number <= *m_lastNumber))
+    if (m_lastNumber && (!number || *number <= *m_lastNumber))
         return false;
     m_lastNumber = number;
     m_lastEventId = std::string(id);
--- a/serving/event_splitter.h
+++ b/serving/event_splitter.h
@@ -9,7 +9,7 @@
 
 // Splits the body of a text/event-stream response into complete events. Only complete events reach the caller, so that a
 // resumed stream can continue after the last one. An event has at least one field of the format (id, data, event, retry) or a
-// comment, its lines begin with field names in lower case, and its id, if any, is a number above all earlier ones.
+// comment, its lines begin with field names in lower case, and its id, if any, is above all earlier ones if these are numbers.
 class event_splitter {
 public:
     // Sets the id of the last event that the caller already has, when it resumes a stream itself. Ignored if it is no number.
@@ -47,7 +47,7 @@
 
     std::string m_pending;
     std::string m_lastEventId;
-    // Number of the last event id. Nothing if there was none.
+    // Number of the last event id. Nothing if there was none, or if it was no number.
     std::optional<std::uint64_t> m_lastNumber;
     std::uint64_t m_eventCount = 0;
     bool m_isMalformed = false;
--- a/tests/fleet/entry_resumed_stream_test.cpp
+++ b/tests/fleet/entry_resumed_stream_test.cpp
@@ -69,6 +69,26 @@
     EXPECT_EQ(received.find("full"), std::string::npos) << received;
 }
 
+// Guards against a wait for the rest of a stream in which a runner has begun to repeat itself.
+TEST_F(entry_resumed_stream, runnerRepeatsAnEvent_continuedByTheNextRunnerAtOnce)
+{
+    const auto behaviour = [](const std::shared_ptr<http_server_connection>& caller, const http_request_message& message) {
+        const bool isResumed = fieldOf(message, "Last-Event-Id") == "2";
+        caller->beginStream(200, "Attempt-Id: a1\r\nServer-Seal: s.1\r\n");
+        caller->sendChunk(isResumed ? "id: 3\ndata: c\n\n" : "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 1\ndata: a\n\n");
+        if (isResumed)
+            caller->endStream();
+    };
+    addRunner("r1", behaviour);
+    addRunner("r2", behaviour);
+    startStore();
+    startEntry();
+    const caller_result result = call(request("POST", "/write/x", "Authorization: Bearer k1\r\n", "p"));
+    EXPECT_EQ(result.body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+    EXPECT_EQ(result.exchangeResult, runner_exchange::result::Complete);
+    EXPECT_LT(result.took, milliseconds(800));
+}
+
 // Guards against a stream that is shown as complete because the next runner's connection closed before its first event.
 TEST_F(entry_resumed_stream, nextRunnerClosesBeforeAnEvent_notShownAsComplete)
 {
--- a/tests/fleet/event_splitter_test.cpp
+++ b/tests/fleet/event_splitter_test.cpp
@@ -60,6 +60,14 @@
     }
 }
 
+// Guards against breaking off a stream whose ids cannot be compared.
+TEST_F(event_stream, ids_noNumbers_takenInAnyOrder)
+{
+    const std::string events = "id: b\ndata: a\n\nid: a\ndata: b\n\n";
+    EXPECT_EQ(take(events), events);
+    EXPECT_EQ(m_splitter.lastEventId(), "a");
+}
+
 TEST_F(event_stream, nextRunner_repeatsAnEvent_malformed)
 {
     take("id: 8\ndata: a\n\nid: 9\nda");
