Tell an answer that ends with its connection from one that its framing ends

Cause: the exchange reports the same result for a stated end and for the end of the connection, so the relay cannot tell the two apart. Change: the exchange reports EndedByClose for the latter. The relay still treats it as complete; using it there is a change of its own.

--- a/relay/runner_exchange.cpp
+++ b/relay/runner_exchange.cpp
@@ -162,7 +162,7 @@
         if (error == asio::error::eof && hasHead)
             parser->put_eof(failure);
         const bool isComplete = error == asio::error::eof && hasHead && !failure && parser->is_done();
-        end(isComplete ? result::Complete : result::Broken);
+        end(isComplete ? result::EndedByClose : result::Broken);
         return;
     }
     input.commit(count);
--- a/relay/runner_exchange.h
+++ b/relay/runner_exchange.h
@@ -17,6 +17,9 @@
     enum class result {
         // The response is complete according to its framing.
         Complete,
+        // The response has neither a length nor chunks, and its connection was closed in order. It is complete, unless the
+        // runner has ended.
+        EndedByClose,
         // The connection could not be established; nothing was sent.
         NotConnected,
         // The connection closed early, or the response is malformed.
--- a/tests/fleet/runner_exchange_test.cpp
+++ b/tests/fleet/runner_exchange_test.cpp
@@ -163,6 +163,19 @@
     EXPECT_EQ(received.result, runner_exchange::result::NotConnected);
 }
 
+// Guards against taking the end of a connection for the end that a length or chunks state.
+TEST_F(exchange_with_runner, response_unframedAndConnectionCloses_endedByClose)
+{
+    for (const char* body : { "", "ok" }) {
+        const outcome received = exchange(std::string("HTTP/1.1 200 OK\r\n\r\n") + body);
+        EXPECT_EQ(received.result, runner_exchange::result::EndedByClose);
+        EXPECT_EQ(received.body, body);
+    }
+    EXPECT_EQ(exchange("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").result, runner_exchange::result::Complete);
+    EXPECT_EQ(exchange("HTTP/1.1 204 No Content\r\n\r\n").result, runner_exchange::result::Complete);
+    EXPECT_EQ(exchange("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n").result, runner_exchange::result::Complete);
+}
+
 // Guards against responses that end early, or whose framing is contradictory, and look complete.
 TEST_F(exchange_with_runner, framing_wrong_broken)
 {
