Buffer the next request until the response has been written

Seen: a caller that sends its next request while a long response is still being written gets that response cut off, followed by a false 400 (which callers do not retry) or by nothing: 4.6 of 8.4 MB arrived in the test, then the connection closed. Cause: the connection went back to the phase Idle when the response was complete, not when it was written. Bytes that arrived in between were given to the parser of the request before, which had released its message, so that an empty request was served and rejected. Change: a phase Flushing between the two; bytes that arrive in it are only buffered. Evidence: the new test fails on the code before (4630925 of 8388608 bytes, one request rejected).

--- a/relay/http_server_connection.cpp
+++ b/relay/http_server_connection.cpp
@@ -40,8 +40,10 @@
         // Waits for the first byte of the next request.
         Idle,
         Reading,
-        // The request is complete; its response is pending or being written.
+        // The request is complete; its response is pending or has begun.
         Serving,
+        // The response is complete, but not all of it has been written.
+        Flushing,
         Closed,
     };
 
@@ -144,10 +146,11 @@
             return;
         }
         connection.input.commit(count);
-        if (connection.currentPhase == phase::Serving)
-            connection.read(self);
-        else
+        // Bytes of the next request stay buffered until the current one is done.
+        if (connection.currentPhase == phase::Idle || connection.currentPhase == phase::Reading)
             connection.parse(self);
+        else
+            connection.read(self);
     });
 }
 
@@ -275,7 +278,7 @@
     timer.cancel();
     if (isClosingAfterWrite)
         close(self.get());
-    else if (currentPhase == phase::Idle)
+    else if (currentPhase == phase::Flushing)
         awaitRequest(self);
 }
 
@@ -287,7 +290,7 @@
     if (!isKeepAlive || isStopping)
         isClosingAfterWrite = true;
     // onWritten() starts reading the next request once the whole response has been written.
-    currentPhase = phase::Idle;
+    currentPhase = phase::Flushing;
     if (isWriting)
         return;
     if (isClosingAfterWrite)
@@ -377,7 +380,7 @@
 void http_server_connection::closeAfterResponse()
 {
     m_implementation->isStopping = true;
-    if (m_implementation->currentPhase == implementation::phase::Idle && !m_implementation->isWriting)
+    if (m_implementation->currentPhase == implementation::phase::Idle)
         m_implementation->close(this);
 }
 
--- /dev/null
+++ b/tests/fleet/server_connection_test.cpp
@@ -0,0 +1,84 @@
+#include "fleet/http_listener.h"
+#include "relay/http_request_message.h"
+#include "tests/support/port_reservation.h"
+#include "tests/support/raw_connection.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <functional>
+#include <future>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace sardinelb::test {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// The caller's raw view of one connection of a listener whose handler responds as the test specifies.
+class server_connection : public testing::Test {
+protected:
+    using handler = std::function<void(const std::shared_ptr<http_server_connection>&, const http_request_message&)>;
+
+    void listen(handler onRequest)
+    {
+        http_server_connection::hooks hooks;
+        hooks.onRequest = [onRequest = std::move(onRequest)](const std::shared_ptr<http_server_connection>& caller, http_request_message&& message) { onRequest(caller, message); };
+        hooks.onRejected = [this](int status, const char*) { m_rejected.push_back(status); };
+        m_listener = std::make_shared<http_listener>(m_context.get_executor(), std::move(hooks));
+        std::string problem;
+        ASSERT_TRUE(m_listener->listen("127.0.0.1:" + std::to_string(m_port), problem)) << problem;
+    }
+
+    // Runs `script` as the caller while the listener serves.
+    void runCaller(const std::function<void(raw_connection&)>& script)
+    {
+        auto done = std::async(std::launch::async, [this, &script] {
+            raw_connection connection = raw_connection::to(m_port);
+            script(connection);
+        });
+        while (done.wait_for(seconds(0)) != std::future_status::ready)
+            m_context.run_one_for(milliseconds(2));
+        done.get();
+    }
+
+    static std::string request(const std::string& target, const std::string& method = "GET")
+    {
+        return method + " " + target + " HTTP/1.1\r\nHost: h\r\n\r\n";
+    }
+
+    boost::asio::io_context m_context;
+    std::uint16_t m_port = port_reservation::reserve(1);
+    std::shared_ptr<http_listener> m_listener;
+    std::vector<int> m_rejected;
+};
+
+// Guards against parsing a request with the parser of the one before, which rejects it, while a long response is written.
+TEST_F(server_connection, requestArrivesInParts_responseStillBeingWritten_servedNext)
+{
+    static constexpr std::size_t longBodyBytes = 8388608;
+    listen([](const std::shared_ptr<http_server_connection>& caller, const http_request_message& message) {
+        caller->respond(200, "", message.target == "/long" ? std::string(longBodyBytes, 'x') : "second");
+    });
+    runCaller([](raw_connection& connection) {
+        connection.send(request("/long"));
+        const std::string head = connection.receiveUntil("\r\n\r\n");
+        const std::string next = request("/next");
+        connection.send(next.substr(0, 10));
+        std::this_thread::sleep_for(milliseconds(50));
+        connection.send(next.substr(10));
+        std::this_thread::sleep_for(milliseconds(50));
+        EXPECT_EQ(connection.receiveBytes(longBodyBytes).size(), longBodyBytes);
+        EXPECT_EQ(connection.receiveUntil("\r\n"), "HTTP/1.1 200 OK\r\n");
+        connection.receiveUntil("\r\n\r\n");
+        EXPECT_EQ(connection.receiveBytes(6), "second");
+    });
+    EXPECT_TRUE(m_rejected.empty());
+}
+
+}
