Never end a resumed stream as complete whose connection closed before an event

When the runner that should go on with it answered without a length and its connection closed before an event, the events of the earlier attempt counted, so that the answer was taken for complete.

Only events of this attempt count for an answer that ends with its connection. resumedStream_connectionClosesBeforeAnEvent_notComplete failed before (the exchange was Complete, expected Broken) and passes now.

--- a/fleet/request_relay.cpp
+++ b/fleet/request_relay.cpp
@@ -438,16 +438,19 @@
 {
     if (result == runner_exchange::result::NotConnected)
         onAttemptFailed(attempt_failure::NotConnected, "connection to runner failed");
-    else if (result == runner_exchange::result::Broken || hasStreamEndedEarly())
+    else if (result == runner_exchange::result::Broken || hasStreamEndedEarly(result))
         onAttemptFailed(attempt_failure::OutcomeUnknown, "response ended early or is malformed");
     else
         onResponseComplete();
 }
 
-bool request_relay::hasStreamEndedEarly() const
+bool request_relay::hasStreamEndedEarly(runner_exchange::result result) const
 {
-    // A response without a length or chunks also ends when its runner does.
-    return m_isRelayingStream && (m_events.hasPartialEvent() || m_events.eventCount() == 0);
+    if (!m_isRelayingStream)
+        return false;
+    // A response without a length or chunks also ends when its runner does, so events of earlier attempts say nothing.
+    const bool hasEvents = result == runner_exchange::result::EndedByClose ? m_hasReceivedEvent : m_events.eventCount() > 0;
+    return m_events.hasPartialEvent() || !hasEvents;
 }
 
 void request_relay::onResponseComplete()
--- a/fleet/request_relay.h
+++ b/fleet/request_relay.h
@@ -63,7 +63,7 @@
     // Counts the buffered part of the response. Returns false if it is too long to buffer.
     bool updateBufferedBytes();
     // Whether the stream of a response that is complete by its framing ended inside an event or before the first one.
-    bool hasStreamEndedEarly() const;
+    bool hasStreamEndedEarly(runner_exchange::result) const;
     void onResponseComplete();
     void onAttemptFailed(attempt_failure, const char* why);
     // Forgets a response that is not forwarded, and frees what is buffered of it.
--- a/tests/fleet/entry_unframed_test.cpp
+++ b/tests/fleet/entry_unframed_test.cpp
@@ -1,6 +1,7 @@
 #include "tests/fleet/entry_fixture.h"
 #include "tests/support/scripted_server.h"
 
+#include <atomic>
 #include <thread>
 #include <utility>
 
@@ -23,10 +24,15 @@
             if (isReset)
                 connection.reset();
         });
-        m_rows[id] = R"({"service":"plain","address":"127.0.0.1:)" + std::to_string(runner->port()) + R"(","zone":"z","version":"v1","slots":6,"state":"ready","seq":1,"born":1000})";
+        list(id, *runner);
         return runner;
     }
 
+    void list(const std::string& id, const scripted_server& runner)
+    {
+        m_rows[id] = R"({"service":"plain","address":"127.0.0.1:)" + std::to_string(runner.port()) + R"(","zone":"z","version":"v1","slots":6,"state":"ready","seq":1,"born":1000})";
+    }
+
     void start()
     {
         startStore();
@@ -71,6 +77,31 @@
     EXPECT_EQ(result.exchangeResult, runner_exchange::result::Broken);
 }
 
+// Guards against presenting a stream as complete whose next runner ended before it went on.
+TEST_F(entry_unframed, resumedStream_connectionClosesBeforeAnEvent_notComplete)
+{
+    std::atomic<int> attempts = 0;
+    const auto behaviour = [&attempts](raw_connection& connection) {
+        connection.receiveUntil("\r\n\r\n");
+        const bool isFirst = attempts++ == 0;
+        connection.send("HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Seal: s.1\r\nConnection: close\r\n\r\n");
+        if (isFirst)
+            connection.send("id: 1\ndata: x\n\n");
+        std::this_thread::sleep_for(milliseconds(50));
+        if (isFirst)
+            connection.reset();
+    };
+    scripted_server first(behaviour);
+    scripted_server second(behaviour);
+    list("r1", first);
+    list("r2", second);
+    start();
+    const caller_result result = call(request("POST", "/write/x"));
+    EXPECT_EQ(attempts, 2);
+    EXPECT_EQ(result.body, "id: 1\ndata: x\n\n");
+    EXPECT_EQ(result.exchangeResult, runner_exchange::result::Broken);
+}
+
 // Guards against presenting a stream as complete whose runner ended before the first event.
 TEST_F(entry_unframed, stream_connectionClosesBeforeTheFirstEvent_notComplete)
 {
