Close a caller's connection instead of writing a second head into a response

Seen: nothing stopped the entry from answering a request whose stream had begun. Change: the connection knows whether a stream is open. A second response, or a chunk or end without a stream, closes it without another byte and is logged (bad_request, status 500), so that the caller cannot take what it got for complete. Evidence: the three new tests fail on the code before; they print the second head, and "4 part 0" without a head.

--- a/relay/http_server_connection.cpp
+++ b/relay/http_server_connection.cpp
@@ -33,6 +33,8 @@
 // The connection is closed when a write does not complete within this time.
 constexpr std::chrono::seconds writeTimeout { 10 };
 
+constexpr int internalErrorStatus = 500;
+
 }
 
 struct http_server_connection::implementation {
@@ -72,6 +74,8 @@
     bool isClosingAfterWrite = false;
     bool isStopping = false;
     bool isHeadRequest = false;
+    // A stream has begun and has not ended.
+    bool isStreaming = false;
 
     void start(const std::shared_ptr<http_server_connection>&);
     void awaitRequest(const std::shared_ptr<http_server_connection>&);
@@ -85,6 +89,9 @@
     void startWrite(const std::shared_ptr<http_server_connection>&);
     void onWritten(const std::shared_ptr<http_server_connection>&, const error_code&);
     void onResponseComplete(const std::shared_ptr<http_server_connection>&);
+    bool canBeginResponse(http_server_connection*);
+    bool canContinueStream(http_server_connection*);
+    void closeMisused(http_server_connection*, const char* why);
     void close(http_server_connection*);
     std::string head(int status, std::string_view fields) const;
 };
@@ -299,6 +306,31 @@
         awaitRequest(self);
 }
 
+bool http_server_connection::implementation::canBeginResponse(http_server_connection* self)
+{
+    if (currentPhase != phase::Serving)
+        return false;
+    if (isStreaming)
+        closeMisused(self, "a second response was begun before the end of the first");
+    return !isStreaming;
+}
+
+bool http_server_connection::implementation::canContinueStream(http_server_connection* self)
+{
+    if (currentPhase != phase::Serving)
+        return false;
+    if (!isStreaming)
+        closeMisused(self, "a stream was continued that has not begun");
+    return isStreaming;
+}
+
+// Ends a response that cannot be continued, so that the caller does not take what it got for complete.
+void http_server_connection::implementation::closeMisused(http_server_connection* self, const char* why)
+{
+    callbacks->onRejected(internalErrorStatus, why);
+    self->abort();
+}
+
 void http_server_connection::implementation::close(http_server_connection* self)
 {
     if (currentPhase == phase::Closed)
@@ -333,7 +365,7 @@
 
 void http_server_connection::respond(int status, std::string_view fields, std::string_view body)
 {
-    if (m_implementation->currentPhase != implementation::phase::Serving)
+    if (!m_implementation->canBeginResponse(this))
         return;
     const auto self = shared_from_this();
     std::string text = m_implementation->head(status, fields);
@@ -346,14 +378,15 @@
 
 void http_server_connection::beginStream(int status, std::string_view fields)
 {
-    if (m_implementation->currentPhase != implementation::phase::Serving)
+    if (!m_implementation->canBeginResponse(this))
         return;
+    m_implementation->isStreaming = true;
     m_implementation->write(shared_from_this(), m_implementation->head(status, fields) + "Transfer-Encoding: chunked\r\n\r\n");
 }
 
 void http_server_connection::sendChunk(std::string_view part)
 {
-    if (part.empty() || m_implementation->currentPhase != implementation::phase::Serving)
+    if (part.empty() || !m_implementation->canContinueStream(this))
         return;
     std::array<char, 16> size {};
     const auto end = std::to_chars(size.data(), size.data() + size.size(), part.size(), 16).ptr;
@@ -364,8 +397,9 @@
 
 void http_server_connection::endStream()
 {
-    if (m_implementation->currentPhase != implementation::phase::Serving)
+    if (!m_implementation->canContinueStream(this))
         return;
+    m_implementation->isStreaming = false;
     const auto self = shared_from_this();
     m_implementation->write(self, "0\r\n\r\n");
     m_implementation->onResponseComplete(self);
--- a/relay/http_server_connection.h
+++ b/relay/http_server_connection.h
@@ -21,7 +21,8 @@
     struct hooks {
         // A complete request has arrived. The receiver responds with respond(), or with beginStream(), sendChunk() and endStream().
         std::function<void(const std::shared_ptr<http_server_connection>&, http_request_message&&)> onRequest;
-        // A request that is malformed or exceeds a limit was rejected with this status.
+        // A request that is malformed or exceeds a limit was rejected with this status, or its response was broken off (500)
+        // because the receiver began a second one or continued one that had not begun.
         std::function<void(int status, const char* why)> onRejected;
         // The connection has ended.
         std::function<void(http_server_connection*)> onClosed;
--- a/tests/fleet/server_connection_test.cpp
+++ b/tests/fleet/server_connection_test.cpp
@@ -81,4 +81,48 @@
     EXPECT_TRUE(m_rejected.empty());
 }
 
+// Guards against a second head in the middle of a response.
+TEST_F(server_connection, respond_streamOpen_connectionClosed)
+{
+    listen([](const std::shared_ptr<http_server_connection>& caller, const http_request_message&) {
+        caller->beginStream(200, "");
+        caller->sendChunk("part");
+        caller->respond(502, "", "error");
+    });
+    runCaller([](raw_connection& connection) {
+        connection.send(request("/"));
+        const std::string received = connection.receiveAll();
+        EXPECT_EQ(received.find("502"), std::string::npos) << received;
+        EXPECT_EQ(received.find("0\r\n\r\n"), std::string::npos) << received;
+    });
+}
+
+TEST_F(server_connection, beginStream_streamOpen_connectionClosed)
+{
+    listen([](const std::shared_ptr<http_server_connection>& caller, const http_request_message&) {
+        caller->beginStream(200, "");
+        caller->beginStream(200, "");
+        caller->endStream();
+    });
+    runCaller([](raw_connection& connection) {
+        connection.send(request("/"));
+        const std::string received = connection.receiveAll();
+        EXPECT_EQ(received.find("HTTP/1.1", 1), std::string::npos) << received;
+        EXPECT_EQ(received.find("0\r\n\r\n"), std::string::npos) << received;
+    });
+}
+
+// Guards against chunks that belong to no response.
+TEST_F(server_connection, sendChunk_noStreamOpen_connectionClosedWithoutBytes)
+{
+    listen([](const std::shared_ptr<http_server_connection>& caller, const http_request_message&) {
+        caller->sendChunk("part");
+        caller->endStream();
+    });
+    runCaller([](raw_connection& connection) {
+        connection.send(request("/"));
+        EXPECT_EQ(connection.receiveAll(), "");
+    });
+}
+
 }
