Skip interim responses of a runner

A runner may send responses with a status 1xx before its answer. The runner client took the first head for the answer: the caller of a service got a head with status 100 or 103, which ends no request, and a model call counted as refused, so that it was reported as not run and started again while the engine was running it.

The heads are now read until one is final, at most 16 before it; status 101 is no interim response.

On the old code the new tests print: "answered 100 " instead of "answered 200 done", "failed not_sent" instead of "completed 3+2", and "failed not_sent" and "answered 100 " instead of "failed broken" without an answer and for heads without end.

--- a/tests/error/runner_client_test.cpp
+++ b/tests/error/runner_client_test.cpp
@@ -199,6 +199,43 @@
     EXPECT_EQ(callRespondingWith("HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"), "failed not_sent");
 }
 
+// Guards against taking an interim response for the answer: the caller would get a head that is no answer.
+TEST_F(runner_client_test, interimHeadOfAServiceIsSkipped)
+{
+    EXPECT_EQ(callRespondingWith("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+                                 "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone",
+                  pool_kind::Service),
+        "answered 200 done");
+}
+
+// Guards against reporting a call as not run because of an interim response.
+TEST_F(runner_client_test, interimHeadOfAModelIsSkipped)
+{
+    EXPECT_EQ(callRespondingWith("HTTP/1.1 100 Continue\r\n\r\n" + streamHead + chunk(tokenLine(0) + doneLine)),
+        "completed 3+2");
+}
+
+TEST_F(runner_client_test, interimHeadWithoutAnAnswerIsBroken)
+{
+    for (const pool_kind kind : { pool_kind::Model, pool_kind::Service }) {
+        outcomes.clear();
+        EXPECT_EQ(callRespondingWith("HTTP/1.1 100 Continue\r\n\r\n", kind), "failed broken");
+    }
+}
+
+// Guards against reading interim responses without end.
+TEST_F(runner_client_test, interimHeadsWithoutEndAreBroken)
+{
+    for (const pool_kind kind : { pool_kind::Model, pool_kind::Service }) {
+        outcomes.clear();
+        const scripted_server server([](raw_connection& connection) {
+            connection.receiveUntil("\r\n\r\n");
+            while (connection.send("HTTP/1.1 100 Continue\r\n\r\n")) { }
+        });
+        EXPECT_EQ(call(server, kind), "failed broken");
+    }
+}
+
 // Guards against a response with a missing token, whether or not both lines arrive in one read.
 TEST_F(runner_client_test, skippedTokenIsBroken)
 {
--- a/transport/runner_client.cpp
+++ b/transport/runner_client.cpp
@@ -47,6 +47,8 @@
 // A token takes far less; the limit keeps an endless line from exhausting memory.
 constexpr std::size_t maxLineBytes = std::size_t { 64 } * 1024;
 constexpr std::uint64_t maxServiceResponseBytes = 4U << 20U;
+// Interim responses (status 1xx) that may precede the answer of a runner.
+constexpr int maxInterimResponses = 16;
 
 std::string callId(const attempt_id& attempt, std::uint32_t call)
 {
@@ -87,6 +89,26 @@
     token_usage usage;
 };
 
+bool isInterim(unsigned status)
+{
+    return status >= 100 && status < 200 && status != static_cast<unsigned>(http::status::switching_protocols);
+}
+
+// Reads the head of the answer and skips the interim responses before it. Leaves the parser ready for the body.
+template <typename Body>
+asio::awaitable<beast::error_code> readHead(beast::tcp_stream& stream, beast::flat_buffer& buffer,
+    std::optional<http::response_parser<Body>>& parser, boost::optional<std::uint64_t> bodyLimit)
+{
+    for (int interim = 0; interim <= maxInterimResponses; ++interim) {
+        parser.emplace();
+        parser->body_limit(bodyLimit);
+        auto [error, bytes] = co_await http::async_read_header(stream, buffer, *parser, asTuple);
+        if (error || !isInterim(parser->get().result_int()))
+            co_return error;
+    }
+    co_return beast::error_code(http::error::header_limit);
+}
+
 token_count usageCount(const json& line, const char* field)
 {
     const json usage = line.value("usage", json());
@@ -198,53 +220,54 @@
 
 asio::awaitable<void> runner_client::implementation::readServiceResponse(active_call& call)
 {
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(maxServiceResponseBytes);
+    std::optional<http::response_parser<http::string_body>> parser;
     beast::flat_buffer buffer;
-    if (auto [error, bytes] = co_await http::async_read(call.stream, buffer, parser, asTuple); error) {
-        reportFailure(call, call_failure::Broken, "no complete response from the runner: " + error.message());
+    auto failed = co_await readHead(call.stream, buffer, parser, maxServiceResponseBytes);
+    if (!failed)
+        failed = std::get<0>(co_await http::async_read(call.stream, buffer, *parser, asTuple));
+    if (failed) {
+        reportFailure(call, call_failure::Broken, "no complete response from the runner: " + failed.message());
         co_return;
     }
     if (call.isStopped)
         co_return;
-    const auto& message = parser.get();
+    const auto& message = parser->get();
     handlers.onServiceAnswer(call.action.submit.attempt, call.action.call, static_cast<int>(message.result_int()),
         std::string(message[http::field::content_type]), message.body());
 }
 
 asio::awaitable<void> runner_client::implementation::readModelStream(active_call& call)
 {
-    http::response_parser<http::buffer_body> parser;
-    parser.body_limit(boost::none);
+    std::optional<http::response_parser<http::buffer_body>> parser;
     beast::flat_buffer buffer;
-    if (auto [error, bytes] = co_await http::async_read_header(call.stream, buffer, parser, asTuple); error) {
+    if (const auto error = co_await readHead(call.stream, buffer, parser, boost::none); error) {
         reportFailure(call, call_failure::Broken, "no response from the runner: " + error.message());
         co_return;
     }
-    if (parser.get().result() != http::status::ok) {
+    if (parser->get().result() != http::status::ok) {
         // Engines refuse a request before they execute any of it.
-        reportFailure(call, call_failure::NotExecuted, "runner refused the request with status " + std::to_string(parser.get().result_int()));
+        reportFailure(call, call_failure::NotExecuted, "runner refused the request with status " + std::to_string(parser->get().result_int()));
         co_return;
     }
     std::string pending;
     std::array<char, readBlockBytes> block {};
     bool done = false;
-    while (!done && !parser.is_done()) {
+    while (!done && !parser->is_done()) {
         while (call.isPaused && !call.isStopped) {
             call.resumed.expires_at(std::chrono::steady_clock::time_point::max());
             co_await call.resumed.async_wait(asTuple);
         }
-        parser.get().body().data = block.data();
-        parser.get().body().size = block.size();
+        parser->get().body().data = block.data();
+        parser->get().body().size = block.size();
         call.stream.expires_after(silenceTimeout);
-        auto [error, bytes] = co_await http::async_read_some(call.stream, buffer, parser, asTuple);
+        auto [error, bytes] = co_await http::async_read_some(call.stream, buffer, *parser, asTuple);
         if (call.isStopped)
             co_return;
         if (error && error != http::error::need_buffer) {
             reportFailure(call, call_failure::Broken, "response stream of the runner was interrupted: " + error.message());
             co_return;
         }
-        pending.append(block.data(), block.size() - parser.get().body().size);
+        pending.append(block.data(), block.size() - parser->get().body().size);
         if (!handleLines(call, pending, done))
             co_return;
         if (pending.size() > maxLineBytes) {
