Take a status out of range for a broken answer of a runner

A runner that answered with status 000, 099 or 999 had it passed on to the caller: a head such as "HTTP/1.1 99" is no response of the protocol, and status 0 stands for an answer of a model, so that caller_api::sendEnd would answer the caller of a service with status 200 and an empty chat (read in the code, not run). The same status of an engine, and status 101, counted as a refusal before execution, so that the call was reported as not run and started elsewhere.

Only a status from 200 to 599 is final now. Any other one ends the call as broken, with an unknown outcome.

On the old code the new tests print for 000, 001, 099, 600 and 999: "answered 0 done", "answered 1 done", ... for a service and "failed not_sent" for a model instead of "failed broken"; for 101 "answered 101 " and "failed not_sent".

--- a/tests/error/runner_client_test.cpp
+++ b/tests/error/runner_client_test.cpp
@@ -236,6 +236,31 @@
     }
 }
 
+// Guards against a response of a protocol that the caller did not ask for.
+TEST_F(runner_client_test, switchOfProtocolsIsBroken)
+{
+    for (const pool_kind kind : { pool_kind::Model, pool_kind::Service }) {
+        outcomes.clear();
+        EXPECT_EQ(callRespondingWith("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\nHTTP/1.1 200 OK\r\n"
+                                     "Content-Length: 4\r\n\r\ndone",
+                      kind),
+            "failed broken");
+    }
+}
+
+// Guards against passing on a head that is no answer, and against taking such a status for a refusal.
+TEST_F(runner_client_test, statusOutOfRangeIsBroken)
+{
+    for (const char* status : { "000", "001", "099", "600", "999" }) {
+        for (const pool_kind kind : { pool_kind::Model, pool_kind::Service }) {
+            outcomes.clear();
+            EXPECT_EQ(callRespondingWith("HTTP/1.1 " + std::string(status) + " X\r\nContent-Length: 4\r\n\r\ndone", kind),
+                "failed broken")
+                << status;
+        }
+    }
+}
+
 // Guards against a response with a missing token, whether or not both lines arrive in one read.
 TEST_F(runner_client_test, skippedTokenIsBroken)
 {
--- a/transport/runner_client.cpp
+++ b/transport/runner_client.cpp
@@ -94,6 +94,8 @@
     return status >= 100 && status < 200 && status != static_cast<unsigned>(http::status::switching_protocols);
 }
 
+bool isFinal(unsigned status) { return status >= 200 && status < 600; }
+
 // Reads the head of the answer and skips the interim responses before it. Leaves the parser ready for the body.
 template <typename Body>
 asio::awaitable<beast::error_code> readHead(beast::tcp_stream& stream, beast::flat_buffer& buffer,
@@ -232,6 +234,10 @@
     if (call.isStopped)
         co_return;
     const auto& message = parser->get();
+    if (!isFinal(message.result_int())) {
+        reportFailure(call, call_failure::Broken, "runner answered with status " + std::to_string(message.result_int()));
+        co_return;
+    }
     handlers.onServiceAnswer(call.action.submit.attempt, call.action.call, static_cast<int>(message.result_int()),
         std::string(message[http::field::content_type]), message.body());
 }
@@ -244,9 +250,14 @@
         reportFailure(call, call_failure::Broken, "no response from the runner: " + error.message());
         co_return;
     }
-    if (parser->get().result() != http::status::ok) {
+    const unsigned status = parser->get().result_int();
+    if (!isFinal(status)) {
+        reportFailure(call, call_failure::Broken, "runner answered with status " + std::to_string(status));
+        co_return;
+    }
+    if (status != static_cast<unsigned>(http::status::ok)) {
         // Engines refuse a request before they execute any of it.
-        reportFailure(call, call_failure::NotExecuted, "runner refused the request with status " + std::to_string(parser->get().result_int()));
+        reportFailure(call, call_failure::NotExecuted, "runner refused the request with status " + std::to_string(status));
         co_return;
     }
     std::string pending;
