Count only statuses of a refusal as a model call that did not run

Any status but 200 of an engine counted as a refusal before execution. An engine that failed while it was running a request (500, or 502 and 504 of a proxy before it) had its caller told that the request was not run, and neither the limit on failures before an answer nor the health of the runner counted it.

Only 4xx and 503 are refusals now: docs/stand-ins.md names 400, 404 and 409 for requests that are not run, and 503 for an engine that is down. Any other status ends the call as broken.

On the old code modelStatusThatIsNoRefusalIsBroken prints "failed not_sent" instead of "failed broken" for 201, 204, 302, 500, 502 and 504. modelStatusOfARefusalIsNotSent is a guard and passed before.

--- a/tests/error/runner_client_test.cpp
+++ b/tests/error/runner_client_test.cpp
@@ -261,6 +261,27 @@
     }
 }
 
+// Guards against reporting a call as not run although its engine failed while running it.
+TEST_F(runner_client_test, modelStatusThatIsNoRefusalIsBroken)
+{
+    for (const char* status : { "201", "204", "302", "500", "502", "504" }) {
+        outcomes.clear();
+        EXPECT_EQ(callRespondingWith("HTTP/1.1 " + std::string(status) + " X\r\nContent-Length: 0\r\n\r\n"),
+            "failed broken")
+            << status;
+    }
+}
+
+TEST_F(runner_client_test, modelStatusOfARefusalIsNotSent)
+{
+    for (const char* status : { "400", "404", "409", "429", "503" }) {
+        outcomes.clear();
+        EXPECT_EQ(callRespondingWith("HTTP/1.1 " + std::string(status) + " X\r\nContent-Length: 0\r\n\r\n"),
+            "failed not_sent")
+            << status;
+    }
+}
+
 // Guards against a response with a missing token, whether or not both lines arrive in one read.
 TEST_F(runner_client_test, skippedTokenIsBroken)
 {
--- a/transport/runner_client.cpp
+++ b/transport/runner_client.cpp
@@ -96,6 +96,12 @@
 
 bool isFinal(unsigned status) { return status >= 200 && status < 600; }
 
+// Whether the engine has refused the request before executing any of it.
+bool isRefusal(unsigned status)
+{
+    return (status >= 400 && status < 500) || status == static_cast<unsigned>(http::status::service_unavailable);
+}
+
 // Reads the head of the answer and skips the interim responses before it. Leaves the parser ready for the body.
 template <typename Body>
 asio::awaitable<beast::error_code> readHead(beast::tcp_stream& stream, beast::flat_buffer& buffer,
@@ -251,13 +257,12 @@
         co_return;
     }
     const unsigned status = parser->get().result_int();
-    if (!isFinal(status)) {
-        reportFailure(call, call_failure::Broken, "runner answered with status " + std::to_string(status));
+    if (isRefusal(status)) {
+        reportFailure(call, call_failure::NotExecuted, "runner refused the request with status " + std::to_string(status));
         co_return;
     }
     if (status != static_cast<unsigned>(http::status::ok)) {
-        // Engines refuse a request before they execute any of it.
-        reportFailure(call, call_failure::NotExecuted, "runner refused the request with status " + std::to_string(status));
+        reportFailure(call, call_failure::Broken, "runner answered with status " + std::to_string(status));
         co_return;
     }
     std::string pending;
