Read no body in the response to a HEAD request

A route may have any method. The response to HEAD carries the length of a body that does not follow, and the runner client waited for that body until the runner closed the connection, or for 120 s: the caller was told that the outcome is unknown although the service had answered.

On the old code answerToAHeadRequestHasNoBody prints "failed broken" instead of "answered 200 ".

--- a/tests/error/runner_client_test.cpp
+++ b/tests/error/runner_client_test.cpp
@@ -78,7 +78,7 @@
         start_call_action action;
         action.submit.attempt = { request_id("r"), 1 };
         action.submit.kind = kind;
-        action.submit.method = "POST";
+        action.submit.method = method;
         action.submit.target = "/bookings";
         action.submit.maxTokens = 2;
         action.call = 1;
@@ -113,6 +113,7 @@
     net_fixture net;
     event_wait events;
     std::unique_ptr<runner_client> client;
+    std::string method = "POST";
     // Guarded by `events`.
     std::vector<std::string> outcomes;
     std::uint32_t tokens = 0;
@@ -282,6 +283,19 @@
     }
 }
 
+// Guards against waiting for the body of a response that has none.
+TEST_F(runner_client_test, answerToAHeadRequestHasNoBody)
+{
+    const scripted_server server([](raw_connection& connection) {
+        connection.receiveUntil("\r\n\r\n");
+        connection.send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n");
+        connection.shutdownSend();
+        connection.receiveAll();
+    });
+    method = "HEAD";
+    EXPECT_EQ(call(server, pool_kind::Service), "answered 200 ");
+}
+
 // Guards against a response with a missing token, whether or not both lines arrive in one read.
 TEST_F(runner_client_test, skippedTokenIsBroken)
 {
--- a/transport/runner_client.cpp
+++ b/transport/runner_client.cpp
@@ -105,10 +105,11 @@
 // Reads the head of the answer and skips the interim responses before it. Leaves the parser ready for the body.
 template <typename Body>
 asio::awaitable<beast::error_code> readHead(beast::tcp_stream& stream, beast::flat_buffer& buffer,
-    std::optional<http::response_parser<Body>>& parser, boost::optional<std::uint64_t> bodyLimit)
+    std::optional<http::response_parser<Body>>& parser, boost::optional<std::uint64_t> bodyLimit, bool hasBody)
 {
     for (int interim = 0; interim <= maxInterimResponses; ++interim) {
         parser.emplace();
+        parser->skip(!hasBody);
         parser->body_limit(bodyLimit);
         auto [error, bytes] = co_await http::async_read_header(stream, buffer, *parser, asTuple);
         if (error || !isInterim(parser->get().result_int()))
@@ -230,7 +231,8 @@
 {
     std::optional<http::response_parser<http::string_body>> parser;
     beast::flat_buffer buffer;
-    auto failed = co_await readHead(call.stream, buffer, parser, maxServiceResponseBytes);
+    const bool hasBody = call.action.submit.method != "HEAD";
+    auto failed = co_await readHead(call.stream, buffer, parser, maxServiceResponseBytes, hasBody);
     if (!failed)
         failed = std::get<0>(co_await http::async_read(call.stream, buffer, *parser, asTuple));
     if (failed) {
@@ -252,7 +254,7 @@
 {
     std::optional<http::response_parser<http::buffer_body>> parser;
     beast::flat_buffer buffer;
-    if (const auto error = co_await readHead(call.stream, buffer, parser, boost::none); error) {
+    if (const auto error = co_await readHead(call.stream, buffer, parser, boost::none, true); error) {
         reportFailure(call, call_failure::Broken, "no response from the runner: " + error.message());
         co_return;
     }
