Ignore what a model sends after the last line of its stream

Lines that arrived together with the last line were still processed: tokens after the end were added to the caller's answer, and a malformed line turned a complete stream into a broken one, so that it ran again. Lines that arrived in a later read were ignored.

The loop over the lines now ends at the last line of the stream, however the bytes are split into reads.

On the old code linesAfterTheLastAreIgnored counts 2 tokens instead of 1, and malformedLineAfterTheLastIsIgnored prints "failed broken" instead of "completed 3+2".

--- a/tests/error/runner_client_test.cpp
+++ b/tests/error/runner_client_test.cpp
@@ -283,6 +283,18 @@
     }
 }
 
+// Guards against adding to an answer what the runner sends after its end.
+TEST_F(runner_client_test, linesAfterTheLastAreIgnored)
+{
+    EXPECT_EQ(callRespondingWith(streamHead + chunk(tokenLine(0) + doneLine + tokenLine(1) + doneLine)), "completed 3+2");
+    EXPECT_EQ(events.read(tokens), 1U);
+}
+
+TEST_F(runner_client_test, malformedLineAfterTheLastIsIgnored)
+{
+    EXPECT_EQ(callRespondingWith(streamHead + chunk(tokenLine(0) + doneLine + "{\n")), "completed 3+2");
+}
+
 // Guards against waiting for the body of a response that has none.
 TEST_F(runner_client_test, answerToAHeadRequestHasNoBody)
 {
--- a/transport/runner_client.cpp
+++ b/transport/runner_client.cpp
@@ -297,7 +297,7 @@
         reportFailure(call, call_failure::Broken, "runner ended its response stream early");
 }
 
-// Processes the complete lines in `pending`. Returns false if the call has failed.
+// Processes the complete lines in `pending`, up to the last line of the stream. Returns false if the call has failed.
 bool runner_client::implementation::handleLines(active_call& call, std::string& pending, bool& done)
 {
     const attempt_id& attempt = call.action.submit.attempt;
@@ -306,7 +306,7 @@
     std::string bytes;
     std::optional<token_usage> usage;
     std::size_t start = 0;
-    for (std::size_t end = pending.find('\n'); end != std::string::npos; end = pending.find('\n', start)) {
+    for (std::size_t end = pending.find('\n'); end != std::string::npos && !usage; end = pending.find('\n', start)) {
         const std::string text = pending.substr(start, end - start);
         start = end + 1;
         if (text.empty())
