End a model call that sends more tokens than were requested

A model stream without end was read until the request's deadline. Its caller got more tokens than it had asked for, and for a caller that does not stream the entry buffered them all, on the assumption that the token limit bounds their size.

A token with an index of max_tokens or above now breaks the call. docs/stand-ins.md has the index go from resume_from to max_tokens - 1. A line may still have 64 KiB, so that a faulty runner can make an entry buffer 2 GiB for the highest max_tokens: this bound is not tight.

On the old code moreTokensThanRequestedAreBroken prints "completed 3+2" for three tokens of two, and "0 ends" after 30 s for a stream without end.

--- a/tests/error/runner_client_test.cpp
+++ b/tests/error/runner_client_test.cpp
@@ -295,6 +295,19 @@
     EXPECT_EQ(callRespondingWith(streamHead + chunk(tokenLine(0) + doneLine + "{\n")), "completed 3+2");
 }
 
+// Guards against an answer without end, which the entry buffers for a caller that does not stream.
+TEST_F(runner_client_test, moreTokensThanRequestedAreBroken)
+{
+    EXPECT_EQ(callRespondingWith(streamHead + chunk(tokenLine(0) + tokenLine(1) + tokenLine(2) + doneLine)), "failed broken");
+    outcomes.clear();
+    const scripted_server server([](raw_connection& connection) {
+        connection.receiveUntil("\r\n\r\n");
+        connection.send(streamHead);
+        for (int index = 0; connection.send(chunk(tokenLine(index))); ++index) { }
+    });
+    EXPECT_EQ(call(server), "failed broken");
+}
+
 // Guards against waiting for the body of a response that has none.
 TEST_F(runner_client_test, answerToAHeadRequestHasNoBody)
 {
--- a/transport/runner_client.cpp
+++ b/transport/runner_client.cpp
@@ -179,6 +179,7 @@
     asio::awaitable<bool> sendRequest(active_call&);
     asio::awaitable<void> readServiceResponse(active_call&);
     asio::awaitable<void> readModelStream(active_call&);
+    static bool isExpected(const active_call&, std::uint32_t index);
     bool handleLines(active_call&, std::string& pending, bool& done);
     void reportFailure(const active_call&, call_failure, const std::string& detail);
     asio::awaitable<void> cancelAtRunner(std::string name);
@@ -297,6 +298,11 @@
         reportFailure(call, call_failure::Broken, "runner ended its response stream early");
 }
 
+bool runner_client::implementation::isExpected(const active_call& call, std::uint32_t index)
+{
+    return index == call.nextToken && index < call.action.submit.maxTokens;
+}
+
 // Processes the complete lines in `pending`, up to the last line of the stream. Returns false if the call has failed.
 bool runner_client::implementation::handleLines(active_call& call, std::string& pending, bool& done)
 {
@@ -312,7 +318,7 @@
         if (text.empty())
             continue;
         const auto line = parseLine(text);
-        if (!line || (line->index && *line->index != call.nextToken)) {
+        if (!line || (line->index && !isExpected(call, *line->index))) {
             reportFailure(call, call_failure::Broken, "runner sent an unexpected line");
             return false;
         }
