Guard the runner client against repeated, interleaved and endless responses

A second answer after the first, a refusal repeated after its call, bytes before the head, an unframed answer that is reset, a head or a body without end, and an error within a stream that has begun: none of them reaches a caller.

--- a/tests/error/runner_client_test.cpp
+++ b/tests/error/runner_client_test.cpp
@@ -321,6 +321,80 @@
     EXPECT_EQ(call(server, pool_kind::Service), "answered 200 ");
 }
 
+// Guards against an answer of another call: a second copy of an answer is ignored, at once or late.
+TEST_F(runner_client_test, secondAnswerIsIgnored)
+{
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
+    EXPECT_EQ(callRespondingWith(answer + answer, pool_kind::Service), "answered 200 done");
+    outcomes.clear();
+    const std::string stream = streamHead + chunk(tokenLine(0) + doneLine) + "0\r\n\r\n";
+    EXPECT_EQ(callRespondingWith(stream + stream), "completed 3+2");
+}
+
+// Guards against believing the response to an earlier call: each call has its own connection.
+TEST_F(runner_client_test, refusalRepeatedAfterACallDoesNotReachTheNext)
+{
+    const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+    int connections = 0;
+    const scripted_server server([&](raw_connection& connection) {
+        connection.receiveUntil("\r\n\r\n");
+        connection.send(++connections == 1 ? refusal + refusal : streamHead + chunk(tokenLine(0) + doneLine));
+        connection.shutdownSend();
+        connection.receiveAll();
+    });
+    EXPECT_EQ(call(server), "failed not_sent");
+    outcomes.clear();
+    EXPECT_EQ(call(server), "completed 3+2");
+}
+
+TEST_F(runner_client_test, bytesBeforeTheHeadAreBroken)
+{
+    for (const pool_kind kind : { pool_kind::Model, pool_kind::Service }) {
+        outcomes.clear();
+        EXPECT_EQ(callRespondingWith("junk\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone", kind), "failed broken");
+    }
+}
+
+// Guards against passing on an answer that lacks its end.
+TEST_F(runner_client_test, unframedAnswerThatIsResetIsBroken)
+{
+    for (const pool_kind kind : { pool_kind::Model, pool_kind::Service }) {
+        outcomes.clear();
+        const scripted_server server([](raw_connection& connection) {
+            connection.receiveUntil("\r\n\r\n");
+            connection.send("HTTP/1.1 200 OK\r\n\r\n" + tokenLine(0));
+            connection.reset();
+        });
+        EXPECT_EQ(call(server, kind), "failed broken");
+    }
+}
+
+// Guards against unbounded buffering of a head or a body that never ends.
+TEST_F(runner_client_test, headOrBodyWithoutEndIsBroken)
+{
+    for (const char* start : { "HTTP/1.1 200 OK\r\nX: ", "HTTP/1.1 200 OK\r\n\r\n" }) {
+        for (const pool_kind kind : { pool_kind::Model, pool_kind::Service }) {
+            outcomes.clear();
+            const scripted_server server([start](raw_connection& connection) {
+                connection.receiveUntil("\r\n\r\n");
+                connection.send(start);
+                const std::string block(16384, 'x');
+                while (connection.send(block)) { }
+            });
+            EXPECT_EQ(call(server, kind), "failed broken") << start;
+        }
+    }
+}
+
+// Guards against an error head within a stream that has begun: it is no line of the stream.
+TEST_F(runner_client_test, errorWithinAStreamIsBroken)
+{
+    const std::string error = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 2\r\n\r\n{}";
+    EXPECT_EQ(callRespondingWith(streamHead + chunk(tokenLine(0)) + error), "failed broken");
+    outcomes.clear();
+    EXPECT_EQ(callRespondingWith(streamHead + chunk(tokenLine(0)) + chunk(error)), "failed broken");
+}
+
 // Guards against a response with a missing token, whether or not both lines arrive in one read.
 TEST_F(runner_client_test, skippedTokenIsBroken)
 {
