Write no chunks in response to HEAD

Seen: a HEAD request on a streaming route got the head and then chunks. The response to HEAD ends with its head, so the caller takes the chunks for the beginning of its next response (MIXED: bytes on a connection with no request waiting). Change: chunks and their end are not written for HEAD, as it is for the body of respond(). Evidence: the new test fails on the code before (it receives "4" where the next status line is due).

--- a/relay/http_server_connection.cpp
+++ b/relay/http_server_connection.cpp
@@ -390,6 +390,8 @@
         return;
     std::array<char, 16> size {};
     const auto end = std::to_chars(size.data(), size.data() + size.size(), part.size(), 16).ptr;
+    if (m_implementation->isHeadRequest)
+        return;
     std::string chunk(size.data(), end);
     chunk.append("\r\n").append(part).append("\r\n");
     m_implementation->write(shared_from_this(), chunk);
@@ -401,7 +403,8 @@
         return;
     m_implementation->isStreaming = false;
     const auto self = shared_from_this();
-    m_implementation->write(self, "0\r\n\r\n");
+    if (!m_implementation->isHeadRequest)
+        m_implementation->write(self, "0\r\n\r\n");
     m_implementation->onResponseComplete(self);
 }
 
--- a/tests/fleet/server_connection_test.cpp
+++ b/tests/fleet/server_connection_test.cpp
@@ -125,4 +125,24 @@
     });
 }
 
+// Guards against body bytes after the head of a response to HEAD, which the caller takes for the next response.
+TEST_F(server_connection, headRequest_stream_headOnly)
+{
+    listen([](const std::shared_ptr<http_server_connection>& caller, const http_request_message& message) {
+        if (message.method == "GET") {
+            caller->respond(200, "", "second");
+            return;
+        }
+        caller->beginStream(200, "");
+        caller->sendChunk("part");
+        caller->endStream();
+    });
+    runCaller([](raw_connection& connection) {
+        connection.send(request("/", "HEAD"));
+        connection.receiveUntil("\r\n\r\n");
+        connection.send(request("/"));
+        EXPECT_EQ(connection.receiveUntil("\r\n"), "HTTP/1.1 200 OK\r\n");
+    });
+}
+
 }
