State no length and write no body with 204 and 304

Seen: respond() wrote Content-Length, and the body if there was one, with any status. A runner's 204 reached callers with "Content-Length: 0"; the entry never had a body for it, since its parser skips it. Evidence: the new test fails on the code before (Content-Length in each head, "text" before the next status line).

--- a/relay/http_server_connection.cpp
+++ b/relay/http_server_connection.cpp
@@ -34,6 +34,14 @@
 constexpr std::chrono::seconds writeTimeout { 10 };
 
 constexpr int internalErrorStatus = 500;
+constexpr int noContentStatus = 204;
+constexpr int notModifiedStatus = 304;
+
+// Whether a response with this status has a body and states its length.
+bool hasBody(int status)
+{
+    return status != noContentStatus && status != notModifiedStatus;
+}
 
 }
 
@@ -369,8 +377,11 @@
         return;
     const auto self = shared_from_this();
     std::string text = m_implementation->head(status, fields);
-    text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
-    if (!m_implementation->isHeadRequest)
+    if (!hasBody(status))
+        text += "\r\n";
+    else
+        text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    if (hasBody(status) && !m_implementation->isHeadRequest)
         text += body;
     m_implementation->write(self, text);
     m_implementation->onResponseComplete(self);
--- a/tests/fleet/server_connection_test.cpp
+++ b/tests/fleet/server_connection_test.cpp
@@ -145,4 +145,20 @@
     });
 }
 
+// Guards against a length in a response that has no body by its status (RFC 9110, 8.6).
+TEST_F(server_connection, respond_statusWithoutBody_noLengthAndNoBody)
+{
+    listen([](const std::shared_ptr<http_server_connection>& caller, const http_request_message& message) {
+        caller->respond(message.target == "/204" ? 204 : 304, "", "text");
+    });
+    runCaller([](raw_connection& connection) {
+        for (const char* target : { "/204", "/304", "/204" }) {
+            connection.send(request(target));
+            const std::string head = connection.receiveUntil("\r\n\r\n");
+            EXPECT_EQ(head.find("Content-Length"), std::string::npos) << head;
+            EXPECT_TRUE(head.starts_with("HTTP/1.1 ")) << head;
+        }
+    });
+}
+
 }
