--- a/fleet/entry_process.cpp
+++ b/fleet/entry_process.cpp
@@ -107,6 +107,9 @@
     time_point stopStartedAt;
 
     bool start();
+    void logRestores();
+    // Hooks that log what a follower of a table cannot use.
+    platform::table_follower::hooks followerHooks(const char* name);
     bool listen(std::shared_ptr<http_listener>&, http_server_connection::hooks, const std::string& address);
     http_server_connection::hooks callerServerHooks();
     http_server_connection::hooks statusServerHooks();
@@ -136,6 +139,7 @@
     const std::string tableAddress = options.ip + ":" + std::to_string(options.firstPeerPort + entryTablePortOffset);
     if (!listen(tableServer, tableServerHooks(), tableAddress))
         return false;
+    logRestores();
     followConfiguration();
     followRunners();
     entry.promptGuard().setQuarantineHandler([this](const prompt_part_evidence& part) { quarantines.save(part); });
@@ -282,11 +286,31 @@
     return peers.isStorePoller() || runnerFollower->timeSinceConfirmed() > runnerListTimeout;
 }
 
-void entry_process::implementation::followConfiguration()
+void entry_process::implementation::logRestores()
+{
+    store.setEpochHandler([this](store_epoch before, store_epoch now) {
+        log.write("store_restored", { { "before", static_cast<std::int64_t>(before.value()) }, { "epoch", static_cast<std::int64_t>(now.value()) } });
+        metrics.count("store_restored");
+    });
+}
+
+platform::table_follower::hooks entry_process::implementation::followerHooks(const char* name)
 {
     platform::table_follower::hooks hooks;
+    hooks.reachable = [this, name](bool isReachable) { onStoreReachabilityChanged(name, isReachable); };
+    hooks.historyGone = [this, name](row_revision known) {
+        log.write("history_gone", { { "table", name }, { "known", static_cast<std::int64_t>(known.value()) }, { "epoch", static_cast<std::int64_t>(store.epoch().value()) } });
+    };
+    hooks.snapshotDropped = [this, name](row_revision known, row_revision read) {
+        log.write("snapshot_dropped", { { "table", name }, { "known", static_cast<std::int64_t>(known.value()) }, { "read", static_cast<std::int64_t>(read.value()) }, { "epoch", static_cast<std::int64_t>(store.epoch().value()) } });
+    };
+    return hooks;
+}
+
+void entry_process::implementation::followConfiguration()
+{
+    platform::table_follower::hooks hooks = followerHooks("configuration");
     hooks.rows = [this](const std::vector<platform::store_row>& rows, bool, row_revision) { onConfigurationRows(rows); };
-    hooks.reachable = [this](bool isReachable) { onStoreReachabilityChanged("configuration", isReachable); };
     platform::table_follower::settings followerSettings;
     followerSettings.table = std::string(platform::configurationTable);
     followerSettings.wait = configurationLongPollTimeout;
@@ -298,9 +322,8 @@
 
 void entry_process::implementation::followRunners()
 {
-    platform::table_follower::hooks hooks;
+    platform::table_follower::hooks hooks = followerHooks("runners");
     hooks.rows = [this](const std::vector<platform::store_row>& rows, bool isFullSnapshot, row_revision) { onRunnerRows(rows, isFullSnapshot); };
-    hooks.reachable = [this](bool isReachable) { onStoreReachabilityChanged("runners", isReachable); };
     platform::table_follower::settings followerSettings;
     followerSettings.table = std::string(platform::runnerTable);
     followerSettings.pause = runnerListPollPause;
@@ -321,6 +344,8 @@
             log.write("configuration_unreadable", { { "revision", static_cast<std::int64_t>(row.revision.value()) }, { "problem", problem } });
             continue;
         }
+        if (configuration->version < entry.configurationVersion())
+            log.write("configuration_older", { { "version", static_cast<std::int64_t>(configuration->version.value()) }, { "revision", static_cast<std::int64_t>(row.revision.value()) } });
         callerServer->setLimits(configuration->limits);
         const bool isNewer = configuration->version > entry.configurationVersion();
         entry.setConfiguration(std::make_shared<route_index>(configuration));
--- a/relay/http_call_client.cpp
+++ b/relay/http_call_client.cpp
@@ -108,7 +108,10 @@
         connection->idleSince = std::chrono::steady_clock::now();
         idleConnections.push_back(connection);
     }
-    onResponse(reply { static_cast<int>(message.result_int()), std::move(message.body()) });
+    reply response { static_cast<int>(message.result_int()), std::move(message.body()), {} };
+    for (const auto& field : message)
+        response.fields.push_back({ std::string(field.name_string()), std::string(field.value()) });
+    onResponse(std::move(response));
 }
 
 http_call_client::http_call_client(asio::any_io_executor executor)
--- a/relay/http_call_client.h
+++ b/relay/http_call_client.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "relay/http_field.h"
+
 #include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <boost/asio/any_io_executor.hpp>
 
@@ -27,6 +30,7 @@
     struct reply {
         int status = 0;
         std::string body;
+        std::vector<http_field> fields;
     };
 
     // Called with nothing if no complete response arrived in time; the server may still have executed the call.
--- a/state/ids.h
+++ b/state/ids.h
@@ -49,4 +49,7 @@
 // Revision of a row in the platform's table service. 0 means that the row does not exist.
 using row_revision = strong_value<struct row_revision_tag, std::uint64_t>;
 
+// Counts the restores of the platform's store from a copy. Each restore loses the newest rows, and revisions are given out again.
+using store_epoch = strong_value<struct store_epoch_tag, std::uint64_t>;
+
 }
