Order what the store tells by its restores before its counter

Cause: a restore sets the store's counter back, and entries compared counts from before and after it.

Change: a revision of the store is the pair of its restores (Store-Era, decoded in platform/store_client) and its counter, compared in that order, wherever one orders or guards something: in the followers of both tables, in the heartbeats (a new last field, so that builds can be mixed), in the reconciliation of lists and in the tables that entries read from each other. A rise, whichever call or peer shows it, makes each polling follower read all rows at once instead of after a long poll; pages of one read that span a restore are read again; responses from before a known restore are dropped and logged.

--- a/fleet/entry_peers.h
+++ b/fleet/entry_peers.h
@@ -4,6 +4,7 @@
 #include "platform/settings.h"
 #include "serving/rank_load.h"
 #include "state/ids.h"
+#include "state/store_revision.h"
 #include "state/time.h"
 
 #include <functional>
@@ -32,7 +33,7 @@
     // Versions of the data that an entry holds.
     struct known_versions {
         config_version configuration;
-        row_revision runnerList;
+        store_revision runnerList;
         std::uint64_t runnerDigest = 0;
         duration runnerListAge {};
     };
--- a/fleet/entry_process.cpp
+++ b/fleet/entry_process.cpp
@@ -57,6 +57,16 @@
 // A stopping entry aborts the remaining requests this long before the platform would kill it.
 constexpr std::chrono::milliseconds stopMargin { 400 };
 
+std::int64_t epochField(const store_revision& revision)
+{
+    return static_cast<std::int64_t>(revision.epoch.value());
+}
+
+std::int64_t revisionField(const store_revision& revision)
+{
+    return static_cast<std::int64_t>(revision.revision.value());
+}
+
 }
 
 struct entry_process::implementation : std::enable_shared_from_this<implementation> {
@@ -107,7 +117,8 @@
     time_point stopStartedAt;
 
     bool start();
-    void logRestores();
+    // Reads again what a restore of the store concerns.
+    void onStoreRestored(store_epoch before, store_epoch now);
     // Hooks that log what a follower of a table cannot use.
     platform::table_follower::hooks followerHooks(const char* name);
     bool listen(std::shared_ptr<http_listener>&, http_server_connection::hooks, const std::string& address);
@@ -126,7 +137,7 @@
     void onPeerVersions(const std::string& ip, const entry_peers::known_versions&);
     void readFromPeer(const std::string& ip, std::string_view table, platform::table_follower&);
     http_server_connection::hooks tableServerHooks();
-    void sendTable(const std::shared_ptr<http_server_connection>&, const std::map<std::string, platform::store_row>& rows, row_revision);
+    void sendTable(const std::shared_ptr<http_server_connection>&, const std::map<std::string, platform::store_row>& rows, store_revision);
     void respondWithStatus(const std::shared_ptr<http_server_connection>&, const http_request_message&);
     void stop();
     void advanceStop();
@@ -139,7 +150,7 @@
     const std::string tableAddress = options.ip + ":" + std::to_string(options.firstPeerPort + entryTablePortOffset);
     if (!listen(tableServer, tableServerHooks(), tableAddress))
         return false;
-    logRestores();
+    store.setEpochHandler([this](store_epoch before, store_epoch now) { onStoreRestored(before, now); });
     followConfiguration();
     followRunners();
     entry.promptGuard().setQuarantineHandler([this](const prompt_part_evidence& part) { quarantines.save(part); });
@@ -210,7 +221,7 @@
     return hooks;
 }
 
-void entry_process::implementation::sendTable(const std::shared_ptr<http_server_connection>& caller, const std::map<std::string, platform::store_row>& rows, row_revision revision)
+void entry_process::implementation::sendTable(const std::shared_ptr<http_server_connection>& caller, const std::map<std::string, platform::store_row>& rows, store_revision revision)
 {
     const time_point now = steadyNow();
     tablesSentAt = std::max(tablesSentAt, now);
@@ -223,11 +234,11 @@
     copies.reserve(rows.size());
     for (const auto& [key, row] : rows)
         copies.push_back(row);
-    const std::string body = platform::encodeRows(copies, revision);
+    const std::string body = platform::encodeRows(copies, revision.revision);
     constexpr double bitsPerByte = 8;
     constexpr double bitsPerMegabit = 1e6;
     tablesSentAt += std::chrono::duration_cast<duration>(std::chrono::duration<double>(static_cast<double>(body.size()) * bitsPerByte / (options.linkMegabitsPerSecond * bitsPerMegabit)));
-    caller->respond(200, "", body);
+    caller->respond(200, platform::epochFieldLine(revision.epoch), body);
 }
 
 entry_peers::known_versions entry_process::implementation::localVersions() const
@@ -237,6 +248,7 @@
 
 void entry_process::implementation::onPeerVersions(const std::string& ip, const entry_peers::known_versions& versions)
 {
+    store.observeEpoch(versions.runnerList.epoch);
     if (versions.configuration > entry.configurationVersion())
         readFromPeer(ip, platform::configurationTable, *configurationFollower);
     const list_version own { runnerFollower->revision(), listing.digest(), listing.nextExpiry().has_value() };
@@ -250,7 +262,7 @@
         readFromPeer(ip, platform::runnerTable, *runnerFollower);
         return;
     case list_action::ReadFromStore:
-        log.write("list_differs", { { "ip", ip }, { "revision", static_cast<std::int64_t>(versions.runnerList.value()) } });
+        log.write("list_differs", { { "ip", ip }, { "revision", revisionField(versions.runnerList) } });
         runnerFollower->requestFullRead();
         return;
     }
@@ -286,23 +298,26 @@
     return peers.isStorePoller() || runnerFollower->timeSinceConfirmed() > runnerListTimeout;
 }
 
-void entry_process::implementation::logRestores()
+void entry_process::implementation::onStoreRestored(store_epoch before, store_epoch now)
 {
-    store.setEpochHandler([this](store_epoch before, store_epoch now) {
-        log.write("store_restored", { { "before", static_cast<std::int64_t>(before.value()) }, { "epoch", static_cast<std::int64_t>(now.value()) } });
-        metrics.count("store_restored");
-    });
+    log.write("store_restored", { { "before", static_cast<std::int64_t>(before.value()) }, { "epoch", static_cast<std::int64_t>(now.value()) } });
+    metrics.count("store_restored");
+    configurationFollower->onStoreRestored();
+    runnerFollower->onStoreRestored();
 }
 
 platform::table_follower::hooks entry_process::implementation::followerHooks(const char* name)
 {
     platform::table_follower::hooks hooks;
     hooks.reachable = [this, name](bool isReachable) { onStoreReachabilityChanged(name, isReachable); };
-    hooks.historyGone = [this, name](row_revision known) {
-        log.write("history_gone", { { "table", name }, { "known", static_cast<std::int64_t>(known.value()) }, { "epoch", static_cast<std::int64_t>(store.epoch().value()) } });
+    hooks.historyGone = [this, name](store_revision known) {
+        log.write("history_gone", { { "table", name }, { "known_epoch", epochField(known) }, { "known", revisionField(known) } });
+    };
+    hooks.snapshotDropped = [this, name](store_revision known, store_revision read) {
+        log.write("snapshot_dropped", { { "table", name }, { "known_epoch", epochField(known) }, { "known", revisionField(known) }, { "read_epoch", epochField(read) }, { "read", revisionField(read) } });
     };
-    hooks.snapshotDropped = [this, name](row_revision known, row_revision read) {
-        log.write("snapshot_dropped", { { "table", name }, { "known", static_cast<std::int64_t>(known.value()) }, { "read", static_cast<std::int64_t>(read.value()) }, { "epoch", static_cast<std::int64_t>(store.epoch().value()) } });
+    hooks.responseOutdated = [this, name](store_revision read) {
+        log.write("response_outdated", { { "table", name }, { "read_epoch", epochField(read) }, { "epoch", static_cast<std::int64_t>(store.epoch().value()) } });
     };
     return hooks;
 }
@@ -310,7 +325,7 @@
 void entry_process::implementation::followConfiguration()
 {
     platform::table_follower::hooks hooks = followerHooks("configuration");
-    hooks.rows = [this](const std::vector<platform::store_row>& rows, bool, row_revision) { onConfigurationRows(rows); };
+    hooks.rows = [this](const std::vector<platform::store_row>& rows, bool, store_revision) { onConfigurationRows(rows); };
     platform::table_follower::settings followerSettings;
     followerSettings.table = std::string(platform::configurationTable);
     followerSettings.wait = configurationLongPollTimeout;
@@ -323,7 +338,7 @@
 void entry_process::implementation::followRunners()
 {
     platform::table_follower::hooks hooks = followerHooks("runners");
-    hooks.rows = [this](const std::vector<platform::store_row>& rows, bool isFullSnapshot, row_revision) { onRunnerRows(rows, isFullSnapshot); };
+    hooks.rows = [this](const std::vector<platform::store_row>& rows, bool isFullSnapshot, store_revision) { onRunnerRows(rows, isFullSnapshot); };
     platform::table_follower::settings followerSettings;
     followerSettings.table = std::string(platform::runnerTable);
     followerSettings.pause = runnerListPollPause;
--- a/fleet/fleet_message.cpp
+++ b/fleet/fleet_message.cpp
@@ -66,10 +66,10 @@
         const auto promptParts = createPromptParts(message.promptParts);
         const auto runnerLimits = createRunnerLimits(message.runnerLimits);
         const auto body = wire::Createentry_beatDirect(builder, message.daemon.value().c_str(), message.configuration.value(),
-            message.runnerList.value(), message.runnerDigest,
+            message.runnerList.revision.value(), message.runnerDigest,
             milliseconds(message.runnerListAge), message.isStopping, message.group.value().c_str(), &members,
             message.expertsPerRank, message.newExpertsPerRank, static_cast<std::uint64_t>(message.expertCopyTime.count()), message.slots, &groups,
-            message.arrivalsPerSecond, &promptParts, &runnerLimits);
+            message.arrivalsPerSecond, &promptParts, &runnerLimits, message.runnerList.epoch.value());
         finish(wire::datagram_body::entry_beat, body.Union());
     }
 
@@ -183,7 +183,7 @@
     entry_heartbeat_message message;
     message.daemon = daemon_id(text(body.daemon()));
     message.configuration = config_version(body.configuration());
-    message.runnerList = row_revision(body.runner_list());
+    message.runnerList = { store_epoch(body.runner_list_epoch()), row_revision(body.runner_list()) };
     message.runnerDigest = body.runner_digest();
     message.runnerListAge = std::chrono::milliseconds(body.list_age_ms());
     message.isStopping = body.stopping();
--- a/fleet/fleet_message.h
+++ b/fleet/fleet_message.h
@@ -9,6 +9,7 @@
 #include "serving/rank_load.h"
 #include "serving/runner_limit_update.h"
 #include "state/ids.h"
+#include "state/store_revision.h"
 #include "state/time.h"
 
 #include <cstdint>
@@ -38,7 +39,7 @@
 
     daemon_id daemon;
     config_version configuration;
-    row_revision runnerList;
+    store_revision runnerList;
     // Equal lists of runners have equal digests.
     std::uint64_t runnerDigest = 0;
     // Time since the store last confirmed the list, directly or through other entries.
--- a/serving/list_reconciliation.h
+++ b/serving/list_reconciliation.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "state/ids.h"
+#include "state/store_revision.h"
 
 #include <cstdint>
 
@@ -8,7 +8,7 @@
 
 // What an entry knows about the list of runners, or what another entry tells that it knows.
 struct list_version {
-    row_revision revision;
+    store_revision revision;
     // Equal lists have equal digests.
     std::uint64_t digest = 0;
     // Whether runners are kept that have lost their entries in the store. Not told by other entries.
@@ -28,7 +28,7 @@
 
 // Decides what follows from the version that a peer tells. An entry that keeps runners without entries never takes its list as
 // confirmed: the equal list of the peer may contain them because they have registered again, which this entry must learn
-// before it removes them.
+// before it removes them. Nor does it after a restore of the store: an equal list does not show that the rows behind it are.
 list_action reconcile(const list_version& own, const list_version& peer);
 
 }
--- a/tests/fleet/fleet_message_test.cpp
+++ b/tests/fleet/fleet_message_test.cpp
@@ -31,6 +31,7 @@
         entry_heartbeat_message heartbeat;
         heartbeat.daemon = daemon_id("e1");
         heartbeat.configuration = config_version(9);
+        heartbeat.runnerList = { store_epoch(2), row_revision(31) };
         heartbeat.members = { { rank_id(1), "10.0.0.1:80", std::chrono::milliseconds(70) } };
         heartbeat.groups = { { group_id("g0-1"), heartbeat.members } };
         heartbeat.promptParts = { { pool_id("p"), prompt_part_id(66), 1, { { runner_process_id(5), std::chrono::milliseconds(40) } }, std::chrono::seconds(2), std::chrono::seconds(60), 3 } };
@@ -66,6 +67,7 @@
     const auto decoded = decode(encode(exampleHeartbeat()));
     ASSERT_TRUE(decoded);
     const auto& message = std::get<entry_heartbeat_message>(*decoded);
+    EXPECT_EQ(message.runnerList, exampleHeartbeat().runnerList);
     ASSERT_EQ(message.runnerLimits.size(), 2U);
     EXPECT_EQ(message.runnerLimits[0].runner, runner_process_id(5));
     EXPECT_EQ(message.runnerLimits[0].requestsPerSecond, 2.2);
--- a/tests/fleet/serving_decisions_test.cpp
+++ b/tests/fleet/serving_decisions_test.cpp
@@ -197,7 +197,13 @@
     EXPECT_EQ(index.find("other", "/a/"), nullptr);
 }
 
-class runner_list : public testing::Test { };
+class runner_list : public testing::Test {
+protected:
+    static store_revision revision(std::uint64_t value, std::uint64_t epoch = 0)
+    {
+        return { store_epoch(epoch), row_revision(value) };
+    }
+};
 
 // Guards against losing all runners when their entries expire while the store is unreachable and cannot be renewed.
 TEST_F(runner_list, entries_expiredDuringStoreOutage_keptUntilReregistration)
@@ -228,22 +234,30 @@
 // had registered again, was taken as a confirmation of its own.
 TEST_F(runner_list, runnersKeptWithoutEntries_peerHasTheSameList_readFromPeer)
 {
-    EXPECT_EQ(reconcile({ row_revision(7), 99, true }, { row_revision(9), 99 }), list_action::ReadFromPeer);
-    EXPECT_EQ(reconcile({ row_revision(7), 99, false }, { row_revision(9), 99 }), list_action::Confirm);
+    EXPECT_EQ(reconcile({ revision(7), 99, true }, { revision(9), 99 }), list_action::ReadFromPeer);
+    EXPECT_EQ(reconcile({ revision(7), 99, false }, { revision(9), 99 }), list_action::Confirm);
 }
 
 // Guards against an entry that keeps a wrong list for ever, since nothing changes in the store that would make it read again.
 TEST_F(runner_list, listDiffersAtTheSameRevision_readFromStore)
 {
-    EXPECT_EQ(reconcile({ row_revision(9), 1 }, { row_revision(9), 99 }), list_action::ReadFromStore);
-    EXPECT_EQ(reconcile({ row_revision(9), 99, true }, { row_revision(9), 99 }), list_action::None);
-    EXPECT_EQ(reconcile({ row_revision(9), 1 }, { row_revision(8), 99 }), list_action::None);
+    EXPECT_EQ(reconcile({ revision(9), 1 }, { revision(9), 99 }), list_action::ReadFromStore);
+    EXPECT_EQ(reconcile({ revision(9), 99, true }, { revision(9), 99 }), list_action::None);
+    EXPECT_EQ(reconcile({ revision(9), 1 }, { revision(8), 99 }), list_action::None);
+}
+
+// Guards against an entry that takes the rows before a restore of the store for newer than those after it.
+TEST_F(runner_list, storeRestored_lowerRevisionOfTheNewEpoch_readFromPeer)
+{
+    EXPECT_EQ(reconcile({ revision(9), 1 }, { revision(5, 1), 99 }), list_action::ReadFromPeer);
+    EXPECT_EQ(reconcile({ revision(9), 99 }, { revision(9, 1), 99 }), list_action::ReadFromPeer);
+    EXPECT_EQ(reconcile({ revision(5, 1), 1 }, { revision(9), 99 }), list_action::None);
 }
 
 // Guards against each entry asking the store in quiet times, in which the revision stays the same.
 TEST_F(runner_list, peerConfirmsTheSameRevision_confirmed)
 {
-    EXPECT_EQ(reconcile({ row_revision(9), 99 }, { row_revision(9), 99 }), list_action::Confirm);
+    EXPECT_EQ(reconcile({ revision(9), 99 }, { revision(9), 99 }), list_action::Confirm);
 }
 
 TEST_F(runner_list, address_listedForOldAndNewProcess_newOneIsUsed)
