Believe a refusal only for the attempt that it names

It could happen here: a response that says "not executed", or that comes from another runner than addressed, was believed before its attempt id was looked at. Each attempt has its own connection, so it takes a runner that writes a stale refusal on a new one.

Fix: the attempt id is checked first, for every response. A refusal without an id still counts, since a runner that could not read the request cannot name the attempt.

--- a/fleet/request_relay.cpp
+++ b/fleet/request_relay.cpp
@@ -302,18 +302,21 @@
 {
     m_head = platform::readResponseHead(response);
     logUnexpectedHead();
+    if (!isHeadForThisAttempt()) {
+        onAttemptFailed(attempt_failure::OutcomeUnknown, "response is for another attempt");
+        return;
+    }
     if (m_head->isFromWrongRunner) {
         onAttemptFailed(attempt_failure::WrongRunner, "response from another runner than addressed");
         return;
     }
-    if (m_head->isNotExecuted || m_head->attemptId == m_request.attemptId)
-        m_context.onNamedLimit(m_runner, m_head->requestsPerSecond);
+    m_context.onNamedLimit(m_runner, m_head->requestsPerSecond);
     if (m_head->isNotExecuted) {
         onAttemptFailed(attempt_failure::Rejected, "runner reports that it did not run the request");
         return;
     }
-    if (m_head->attemptId != m_request.attemptId || !m_head->isSigned || m_head->isEncoded) {
-        onAttemptFailed(attempt_failure::OutcomeUnknown, "response is unsigned, encoded or for another attempt");
+    if (!m_head->isSigned || m_head->isEncoded) {
+        onAttemptFailed(attempt_failure::OutcomeUnknown, "response is unsigned or encoded");
         return;
     }
     const bool isEvents = isStream(m_route->retrySemantics) && m_head->status == okStatus;
@@ -326,6 +329,13 @@
         startStream();
 }
 
+bool request_relay::isHeadForThisAttempt() const
+{
+    // A runner that could not read the request cannot name the attempt in its refusal.
+    const bool isRefusal = m_head->isNotExecuted || m_head->isFromWrongRunner;
+    return m_head->attemptId == m_request.attemptId || (isRefusal && m_head->attemptId.empty());
+}
+
 void request_relay::logUnexpectedHead() const
 {
     const bool isSuccess = m_head->isSigned && !m_head->isEncoded && m_head->status < firstServerErrorStatus;
--- a/fleet/request_relay.h
+++ b/fleet/request_relay.h
@@ -53,6 +53,7 @@
     void enqueue();
     void startAttempt(const runner_id&);
     void onHead(const http_response_head&);
+    bool isHeadForThisAttempt() const;
     // Logs the head of a response that the request cannot simply be answered with.
     void logUnexpectedHead() const;
     void startStream();
