Answer 429 or 503 only if the runner states that it did not run the request

A signed answer with status 408, 429 or 503 was forwarded to the caller even if the runner did not state that it had not run the request. These statuses promise the caller that it has not run and never will, and only the runner's statement shows that. Now the outcome of such an attempt is unknown: an idempotent request goes to another runner, any other one gets 502.

Evidence: unavailableWithoutStatement and rateLimitWithoutStatement printed status 503 and 429 on the code before; both pass now.

--- a/fleet/request_relay.cpp
+++ b/fleet/request_relay.cpp
@@ -45,6 +45,12 @@
 
 constexpr const char* quarantinedReason = "a part of the prompt has crashed runners";
 
+// Whether the status tells a caller that its request has not run and will not run.
+bool isNotRunStatus(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 std::int64_t milliseconds(duration time)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
@@ -319,6 +325,10 @@
         onAttemptFailed(attempt_failure::OutcomeUnknown, "response is unsigned or encoded");
         return;
     }
+    if (isNotRunStatus(m_head->status)) {
+        onAttemptFailed(attempt_failure::OutcomeUnknown, "runner does not state that it did not run the request");
+        return;
+    }
     const bool isEvents = isStream(m_route->retrySemantics) && m_head->status == okStatus;
     if (m_isResponseStarted && !isEvents) {
         onAttemptFailed(attempt_failure::ServerError, "runner does not continue the stream");
--- a/tests/fleet/entry_refusal_test.cpp
+++ b/tests/fleet/entry_refusal_test.cpp
@@ -43,6 +43,20 @@
     EXPECT_EQ(receivedRequests(), 1U);
 }
 
+// Guards against telling a caller "not run" for a booking whose runner answers with such a status but does not state that it has not run it.
+TEST_F(entry_refusal, unavailableWithoutStatement_booking_unknownOutcomeAndNoSecondRun)
+{
+    EXPECT_EQ(bookWith(503, "Attempt-Id: a1\r\nServer-Seal: s.1\r\n").status, 502);
+    EXPECT_EQ(receivedRequests(), 1U);
+}
+
+// Guards against the same with a rate limit.
+TEST_F(entry_refusal, rateLimitWithoutStatement_booking_unknownOutcomeAndNoSecondRun)
+{
+    EXPECT_EQ(bookWith(429, "Attempt-Id: a1\r\nServer-Seal: s.1\r\n").status, 502);
+    EXPECT_EQ(receivedRequests(), 1U);
+}
+
 TEST_F(entry_refusal, refusalOfThisAttempt_booking_sentToTheOtherRunnerAndRefused)
 {
     const caller_result result = bookWith(503, "Attempt-Id: a1\r\nNot-Executed: 1\r\n");
