Decide in one place whether a response may answer its caller

Behaviour is unchanged, but that 'response_unexpected' is written for every rejected head and every server error.

--- a/fleet/request_relay.cpp
+++ b/fleet/request_relay.cpp
@@ -9,6 +9,7 @@
 #include "relay/http_server_connection.h"
 #include "serving/failover_action.h"
 #include "serving/prompt_parts.h"
+#include "serving/response_head_check.h"
 #include "serving/route_index.h"
 #include "serving/serving_configuration.h"
 
@@ -40,17 +41,10 @@
 // A caller whose timeout is below this part of the longest timeout seen on its route is taken to have been rejected before.
 constexpr double callerRetryTimeoutRatio = 0.97;
 
-constexpr int okStatus = 200;
 constexpr int firstServerErrorStatus = 500;
 
 constexpr const char* quarantinedReason = "a part of the prompt has crashed runners";
 
-// Whether the status tells a caller that its request has not run and will not run.
-bool isNotRunStatus(int status)
-{
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 std::int64_t milliseconds(duration time)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
@@ -304,54 +298,31 @@
     };
 }
 
+expected_response request_relay::expectedResponse() const
+{
+    return { m_request.attemptId, isStream(m_route->retrySemantics), m_isResponseStarted };
+}
+
 void request_relay::onHead(const http_response_head& response)
 {
     m_head = platform::readResponseHead(response);
-    logUnexpectedHead();
-    if (!isHeadForThisAttempt()) {
-        onAttemptFailed(attempt_failure::OutcomeUnknown, "response is for another attempt");
-        return;
-    }
-    if (m_head->isFromWrongRunner) {
-        onAttemptFailed(attempt_failure::WrongRunner, "response from another runner than addressed");
-        return;
-    }
-    m_context.onNamedLimit(m_runner, m_head->requestsPerSecond);
-    if (m_head->isNotExecuted) {
-        onAttemptFailed(attempt_failure::Rejected, "runner reports that it did not run the request");
-        return;
-    }
-    if (!m_head->isSigned || m_head->isEncoded) {
-        onAttemptFailed(attempt_failure::OutcomeUnknown, "response is unsigned or encoded");
-        return;
-    }
-    if (isNotRunStatus(m_head->status)) {
-        onAttemptFailed(attempt_failure::OutcomeUnknown, "runner does not state that it did not run the request");
-        return;
-    }
-    const bool isEvents = isStream(m_route->retrySemantics) && m_head->status == okStatus;
-    if (m_isResponseStarted && !isEvents) {
-        onAttemptFailed(attempt_failure::ServerError, "runner does not continue the stream");
+    const expected_response expected = expectedResponse();
+    const auto rejection = checkResponseHead(*m_head, expected);
+    if (rejection || m_head->status >= firstServerErrorStatus)
+        logUnexpectedHead();
+    if (isFromAddressedRunner(*m_head, expected))
+        m_context.onNamedLimit(m_runner, m_head->requestsPerSecond);
+    if (rejection) {
+        onAttemptFailed(rejection->failure, rejection->reason);
         return;
     }
     m_context.metrics().recordTimeToFirstByte(steadyNow() - m_arrivedAt);
-    if (isEvents)
+    if (isEventStream(*m_head, expected))
         startStream();
 }
 
-bool request_relay::isHeadForThisAttempt() const
-{
-    // A runner that could not read the request cannot name the attempt in its refusal.
-    const bool isRefusal = m_head->isNotExecuted || m_head->isFromWrongRunner;
-    return m_head->attemptId == m_request.attemptId || (isRefusal && m_head->attemptId.empty());
-}
-
 void request_relay::logUnexpectedHead() const
 {
-    const bool isSuccess = m_head->isSigned && !m_head->isEncoded && m_head->status < firstServerErrorStatus;
-    const bool isContinuation = !m_isResponseStarted || m_head->status == okStatus;
-    if (isSuccess && isContinuation && m_head->attemptId == m_request.attemptId)
-        return;
     m_context.log().write("response_unexpected", { { "request", m_request.attemptId }, { "runner", m_runner.value() }, { "status", static_cast<std::int64_t>(m_head->status) }, { "for_attempt", m_head->attemptId }, { "signed", m_head->isSigned }, { "not_executed", m_head->isNotExecuted }, { "stream_begun", m_isResponseStarted } });
 }
 
--- a/fleet/request_relay.h
+++ b/fleet/request_relay.h
@@ -23,6 +23,7 @@
 class http_server_connection;
 class entry_context;
 class route_index;
+struct expected_response;
 struct http_response_head;
 struct traffic_route;
 
@@ -53,7 +54,7 @@
     void enqueue();
     void startAttempt(const runner_id&);
     void onHead(const http_response_head&);
-    bool isHeadForThisAttempt() const;
+    expected_response expectedResponse() const;
     // Logs the head of a response that the request cannot simply be answered with.
     void logUnexpectedHead() const;
     void startStream();
