--- a/fleet/agent_process.cpp
+++ b/fleet/agent_process.cpp
@@ -106,6 +106,8 @@
     std::uint32_t expertListsDue = 0;
     map_order_executor orderExecutor;
     bool isRunnerCopying = false;
+    // Whether the runner's last answer of each kind could be read. An unreadable one counts as none.
+    std::map<std::string, bool> readableAnswers;
     // When the runner first reported the map that it currently has prepared.
     time_point preparedAt;
     std::unique_ptr<group_coordinator> coordinator;
@@ -126,6 +128,7 @@
     void readRunner();
     void onRunnerReport(std::optional<platform::runner_report>);
     void readExperts();
+    void logIfChanged(const std::string& answer, bool isReadable);
     void reportDemand();
     void sendDemand(const demand_reporting::outgoing&);
     void sendDemandRoutes();
@@ -315,6 +318,7 @@
 
 void agent_process::implementation::onRunnerReport(std::optional<platform::runner_report> report)
 {
+    logIfChanged("report", report.has_value());
     if (!report)
         return;
     const time_point now = steadyNow();
@@ -352,6 +356,7 @@
 void agent_process::implementation::readExperts()
 {
     runner.readExperts(options.runnerAddress, [this](std::optional<platform::held_experts> response) {
+        logIfChanged("experts", response.has_value());
         if (!response)
             return;
         heldExperts = std::move(response);
@@ -360,11 +365,20 @@
     });
 }
 
+void agent_process::implementation::logIfChanged(const std::string& answer, bool isReadable)
+{
+    bool& wasReadable = readableAnswers.try_emplace(answer, true).first->second;
+    if (isReadable != wasReadable)
+        log.write(isReadable ? "runner_answer_regained" : "runner_answer_unreadable", { { "answer", answer } });
+    wasReadable = isReadable;
+}
+
 void agent_process::implementation::reportDemand()
 {
     if (!localReport)
         return;
     runner.readChoices(options.runnerAddress, [this](const std::optional<platform::expert_choices>& response) {
+        logIfChanged("choices", response.has_value());
         if (response)
             demand.onCounters(response->choices, response->epoch);
         if (const auto report = demand.takeReport(steadyNow()))
