--- a/tests/fleet/odd_runner_answer_test.cpp
+++ b/tests/fleet/odd_runner_answer_test.cpp
@@ -4,6 +4,7 @@
 #include "fleet/http_listener.h"
 #include "fleet/peer_ports.h"
 #include "platform/json_fields.h"
+#include "platform/rank_client.h"
 #include "platform/settings.h"
 #include "relay/endpoint.h"
 #include "relay/http_request_message.h"
@@ -18,6 +19,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -156,4 +158,61 @@
     }
 }
 
+// Guards against an idle or absent runner, a group of billions of ranks or a datagram beyond the limit that one wrong field makes.
+TEST_F(odd_runner_answer, reportFieldOutOfRange_read_countsAsNoReport)
+{
+    const std::string group = R"({"name":"g","epoch":1,"rank":0,"state":"open"})";
+    const std::vector<std::string> reports {
+        report("-1"),
+        report("1e308"),
+        report("4294967296"),
+        report("2.5"),
+        report("\"many\""),
+        report("7", "-2"),
+        report("7", "1e400"),
+        report("7", "4294967295"),
+        report("7", "2", R"({"name":"g","epoch":1,"rank":4294967296,"state":"open"})"),
+        report("7", "2", R"({"name":"g","epoch":1,"rank":2,"state":"open"})"),
+        report("7", "2", R"({"name":"g","epoch":1e300,"rank":0,"state":"open"})"),
+        report("7", "2", R"({"name":")" + std::string(100000, 'g') + R"(","epoch":1,"rank":0,"state":"open"})"),
+        report("7", "2", R"({"name":7,"epoch":1,"rank":0,"state":"open"})"),
+        report("7", "2", "[]"),
+        report("7", "2", std::string(5000, '[') + std::string(5000, ']')),
+        R"({"active":7,"pace":1e400,"size":2,"group":)" + group + "}",
+        R"({"active":7,"pace":-1,"size":2,"group":)" + group + "}",
+        R"({"active":7,"born":1e30,"size":2,"group":)" + group + "}",
+        R"({"active":7,"map":-1,"size":2,"group":)" + group + "}",
+        R"({"active":7,"armed":{"version":1e30},"size":2,"group":)" + group + "}",
+    };
+    for (const std::string& odd : reports) {
+        m_report = odd;
+        runFor(milliseconds(150));
+        m_loads.clear();
+        runFor(milliseconds(200));
+        EXPECT_TRUE(m_loads.empty()) << odd.substr(0, 200);
+    }
+}
+
+// Guards against lists that exceed a datagram, so that the coordinator hears no more of the rank.
+TEST_F(odd_runner_answer, listTooLongForADatagram_read_countsAsNone)
+{
+    std::string numbers = "0";
+    for (int i = 1; i < 70000; ++i)
+        numbers += ",1";
+    m_experts = R"({"epoch":1,"map":{"version":0,"experts":[[)" + numbers + "]]}}";
+    m_choices = R"({"epoch":1,"counts":[)" + numbers + "]}";
+    platform::rank_client client(m_context.get_executor(), 1000);
+    int answers = 0;
+    client.readExperts(m_settings.runnerAddress, [&](const std::optional<platform::held_experts>& held) {
+        EXPECT_FALSE(held);
+        ++answers;
+    });
+    client.readChoices(m_settings.runnerAddress, [&](const std::optional<platform::expert_choices>& choices) {
+        EXPECT_FALSE(choices);
+        ++answers;
+    });
+    runFor(milliseconds(400));
+    EXPECT_EQ(answers, 2);
+}
+
 }
