Confirm a pushed change only if this very change is in force

A table service that comes back from a copy some seconds old has lost acknowledged changes, and accepts new ones under their versions. An entry that is pushed such a second change compared only the version: it had reached it, so it answered that it holds the change, and the operator was told that the change is accepted. It was in force nowhere: an added route was not served, without any sign of it.

config_spread::holds compares the token with that of the change applied under this version. The operator now gets "committed but not accepted", and the entry logs a warning. The entities cannot tell two changes apart that set the same entity under the same version, so a daemon without the history may still confirm the second of these.

With holds() as before (the version only), secondChangeWithAnAppliedVersionIsNotHeld and secondChangeWithALoadedVersionIsNotHeld fail with "Value of: spread->holds(second), Actual: true, Expected: false". changeOverwrittenByALaterOneIsHeld is a guard and passed before.

--- a/coordination/spread/change_history.cpp
+++ b/coordination/spread/change_history.cpp
@@ -44,6 +44,13 @@
     }
 }
 
+const configuration_change* change_history::find(config_version version) const
+{
+    if (version <= m_baseVersion || version.value() - m_baseVersion.value() > m_changes.size())
+        return nullptr;
+    return &m_changes[version.value() - m_baseVersion.value() - 1].change;
+}
+
 std::vector<configuration_change> change_history::changesAfter(config_version version, std::size_t maxBytes) const
 {
     std::vector<configuration_change> found;
--- a/coordination/spread/change_history.h
+++ b/coordination/spread/change_history.h
@@ -23,6 +23,9 @@
     // Whether all changes after the version are available.
     bool hasAllAfter(config_version version) const { return version >= m_baseVersion; }
 
+    // Returns the change with the version, or nullptr if it is not available.
+    const configuration_change* find(config_version) const;
+
     // Changes after the version in order: at least one, and more up to `maxBytes`. Empty if they are not all available.
     std::vector<configuration_change> changesAfter(config_version, std::size_t maxBytes) const;
 
--- a/coordination/spread/config_spread.cpp
+++ b/coordination/spread/config_spread.cpp
@@ -21,6 +21,17 @@
     return request;
 }
 
+// Whether the configuration can be the result of the update, made by the change with the version, and of later changes.
+bool isReflected(const configuration& current, const entity_update& update, config_version version)
+{
+    const std::optional<entity> existing = findEntity(current, update.kind, update.id);
+    if (update.kind == entity_kind::NamingScheme)
+        return existing || !update.value;
+    if (!existing)
+        return !update.value;
+    return update.value ? changedAt(*existing) >= version : changedAt(*existing) > version;
+}
+
 }
 
 config_spread::config_spread(config_spread_settings settings, std::uint64_t seed)
@@ -139,6 +150,10 @@
 {
     spread_actions actions;
     applyChanges(actions, "operator", { change });
+    if (hasVersion(change.version) && !holds(change))
+        actions.emplace_back(apply_failed { "operator",
+            "change " + std::to_string(change.version.value())
+                + " is not in force: another change with this version was committed before" });
     // Missing earlier changes are read from the table at once, because the operator is waiting.
     if (m_isReady && m_current.version < change.version && !m_isTableBusy && now >= m_nextGapRead) {
         m_isTableBusy = true;
@@ -148,6 +163,16 @@
     return actions;
 }
 
+bool config_spread::holds(const configuration_change& change) const
+{
+    if (!hasVersion(change.version))
+        return false;
+    if (const configuration_change* applied = m_history.find(change.version))
+        return applied->token == change.token;
+    return std::ranges::all_of(change.updates,
+        [&](const entity_update& update) { return isReflected(m_current, update, change.version); });
+}
+
 spread_actions config_spread::onTableLoadResult(const state_result<configuration>& loaded, time_point now)
 {
     spread_actions actions;
--- a/coordination/spread/config_spread.h
+++ b/coordination/spread/config_spread.h
@@ -40,7 +40,7 @@
     spread_actions onChangesRequested(const daemon_id& from, const changes_request_message&, time_point now);
     spread_actions onChangesReceived(const daemon_id& from, const changes_message&, time_point now);
 
-    // Handles a committed change that an operator pushed. Afterwards, hasVersion() tells whether it was applied.
+    // Handles a committed change that an operator pushed. Afterwards, holds() tells whether it is in force here.
     spread_actions onChangePushed(const configuration_change&, time_point now);
 
     // Result of load_table.
@@ -58,6 +58,10 @@
     // Whether the daemon is ready and has applied this change and all before it. Never becomes false again.
     bool hasVersion(config_version version) const { return m_isReady && m_current.version >= version; }
 
+    // Whether the daemon is ready and has applied this very change and all before it. A table that was restored to an
+    // earlier state accepts a second change with the version of one that it has lost; this daemon keeps the first.
+    bool holds(const configuration_change&) const;
+
     const configuration& current() const { return m_current; }
     config_version version() const { return m_current.version; }
 
--- a/daemon/configuration_feed.cpp
+++ b/daemon/configuration_feed.cpp
@@ -105,7 +105,7 @@
     if (!change)
         return false;
     perform(m_spread.onChangePushed(change.value(), now));
-    return m_spread.hasVersion(change.value().version);
+    return m_spread.holds(change.value());
 }
 
 void configuration_feed::perform(const spread_actions& actions)
--- a/tests/error/config_spread_test.cpp
+++ b/tests/error/config_spread_test.cpp
@@ -187,6 +187,50 @@
     EXPECT_TRUE(spread->hasVersion(config_version(3)));
 }
 
+// Guards against confirming a change that is not in force: a table that was restored to an earlier state accepts a second
+// change with the version of one that it has lost.
+TEST_F(config_spread_test, secondChangeWithAnAppliedVersionIsNotHeld)
+{
+    startWithTable(1);
+    spread->onChangePushed(change(2), now);
+    EXPECT_TRUE(spread->holds(change(2)));
+    configuration_change second = change(2);
+    second.token = "other";
+    second.updates[0].id = "added-after-the-restore";
+    const auto failures = actionsOfType<apply_failed>(spread->onChangePushed(second, now));
+    EXPECT_FALSE(spread->holds(second));
+    EXPECT_EQ(failures.size(), 1U);
+    EXPECT_TRUE(spread->holds(change(2)));
+    EXPECT_EQ(spread->version(), config_version(2));
+}
+
+// A daemon that loaded the lost change from the table has no history to compare the second change with.
+TEST_F(config_spread_test, secondChangeWithALoadedVersionIsNotHeld)
+{
+    startWithTable(2);
+    EXPECT_TRUE(spread->holds(change(2)));
+    configuration_change second = change(2);
+    second.token = "other";
+    second.updates[0].id = "added-after-the-restore";
+    spread->onChangePushed(second, now);
+    EXPECT_FALSE(spread->holds(second));
+    second.updates[0] = { entity_kind::Pool, "pool-1", std::nullopt, config_version(1) };
+    EXPECT_FALSE(spread->holds(second));
+}
+
+// Guards against refusing a change whose effect a later one has replaced.
+TEST_F(config_spread_test, changeOverwrittenByALaterOneIsHeld)
+{
+    startWithTable(2);
+    configuration_change update = change(3);
+    update.updates[0].id = "pool-2";
+    update.updates[0].base = config_version(2);
+    spread->onChangePushed(update, now);
+    EXPECT_TRUE(spread->holds(update));
+    EXPECT_TRUE(spread->holds(change(2)));
+    EXPECT_TRUE(spread->holds(change(1)));
+}
+
 // Guards against an invalid change that blocks a daemon permanently or is applied in part.
 TEST_F(config_spread_test, brokenChangeIsReportedAndLeavesTheVersion)
 {
