Write committed changes again that a restored table has lost

A table service that comes back from a copy some seconds old lacks changes that were confirmed. The daemons kept them in force, but nothing wrote them again: the next operator read the older configuration, and committed its change under a version that the daemons had already applied, so that it never came into force; a daemon that starts reads the older configuration.

The pollers of a zone now look for the row of their own version whenever a read finds no newer change. If it is gone, they insert it and the lost rows before it in one transaction, on condition that none of the rows exists. Every change that a daemon has applied was committed, so no other content can belong into these rows, unless an operator has used a version again since: then nothing is written, and the conflict is logged. The search costs a poller one more read of a row per poll.

What remains: an operator who commits between the restore and the first poll (about 1 s) starts a second history. His change is not confirmed, since the entries do not hold it, but the two histories are not merged. A change that no living poller knows from its history cannot be written again.

--- a/coordination/spread/change_history.h
+++ b/coordination/spread/change_history.h
@@ -20,6 +20,9 @@
     // Appends the change that follows the newest one, and drops the oldest ones beyond the bounds.
     void add(const configuration_change&);
 
+    // Version before the oldest available change.
+    config_version baseVersion() const { return m_baseVersion; }
+
     // Whether all changes after the version are available.
     bool hasAllAfter(config_version version) const { return version >= m_baseVersion; }
 
@@ -38,7 +41,6 @@
     std::size_t m_maxChanges;
     std::size_t m_maxBytes;
     std::size_t m_bytes = 0;
-    // Version before the oldest available change.
     config_version m_baseVersion;
     std::deque<sized_change> m_changes;
 };
--- a/coordination/spread/config_spread.cpp
+++ b/coordination/spread/config_spread.cpp
@@ -173,6 +173,11 @@
         [&](const entity_update& update) { return isReflected(m_current, update, change.version); });
 }
 
+std::vector<configuration_change> config_spread::recentChanges() const
+{
+    return m_history.changesAfter(m_history.baseVersion(), m_settings.historyBytes);
+}
+
 spread_actions config_spread::onTableLoadResult(const state_result<configuration>& loaded, time_point now)
 {
     spread_actions actions;
--- a/coordination/spread/config_spread.h
+++ b/coordination/spread/config_spread.h
@@ -62,6 +62,12 @@
     // earlier state accepts a second change with the version of one that it has lost; this daemon keeps the first.
     bool holds(const configuration_change&) const;
 
+    // The change with the current version, or nullptr if the configuration was loaded as a whole.
+    const configuration_change* newestChange() const { return m_history.find(m_current.version); }
+
+    // The latest applied changes, in order and without gaps. Empty if the configuration was just loaded as a whole.
+    std::vector<configuration_change> recentChanges() const;
+
     const configuration& current() const { return m_current; }
     config_version version() const { return m_current.version; }
 
--- a/daemon/configuration_feed.cpp
+++ b/daemon/configuration_feed.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 #include <utility>
 
 namespace sardinelb {
@@ -138,13 +139,44 @@
 
 void configuration_feed::readTable(config_version after)
 {
-    m_hooks.runOnStoreThread([this, log = m_log, after] {
-        m_hooks.runOnDecisionThread([this, changes = log->readAfter(after)](time_point now) {
+    const configuration_change* newest = m_spread.newestChange();
+    m_hooks.runOnStoreThread([this, log = m_log, after, known = newest ? std::optional(*newest) : std::nullopt] {
+        const auto changes = log->readAfter(after);
+        const bool isTableBehind = changes && changes.value().empty() && known;
+        const state_result<bool> lost = isTableBehind ? log->hasLost(*known) : state_result<bool>(false);
+        m_hooks.runOnDecisionThread([this, changes, lost](time_point now) {
             perform(m_spread.onTableReadResult(changes, now));
+            if (!lost)
+                logTableFault(lost.error());
+            else if (lost.value())
+                rewriteLostChanges();
         });
     });
 }
 
+// A table that was restored from an earlier copy has lost committed changes, which are in force here.
+void configuration_feed::rewriteLostChanges()
+{
+    if (std::exchange(m_isRewriting, true))
+        return;
+    logWarning("store", "The table has lost change " + std::to_string(m_spread.version().value()) + "; writing it again.");
+    const bool isPosted = m_hooks.runOnStoreThread([this, log = m_log, changes = m_spread.recentChanges()] {
+        m_hooks.runOnDecisionThread([this, written = log->rewriteLost(changes)](time_point) {
+            m_isRewriting = false;
+            if (!written)
+                logTableFault(written.error());
+        });
+    });
+    m_isRewriting = m_isRewriting && isPosted;
+}
+
+void configuration_feed::logTableFault(const state_error& error)
+{
+    const std::string text = error.subject + ": " + error.detail + ".";
+    if (std::exchange(m_lastTableFault, text) != text)
+        logWarning("store", text);
+}
+
 // Activates the current configuration if it is newer than the active one.
 void configuration_feed::publish()
 {
--- a/daemon/configuration_feed.h
+++ b/daemon/configuration_feed.h
@@ -50,6 +50,8 @@
     void perform(const spread_actions&);
     void loadTable();
     void readTable(config_version after);
+    void rewriteLostChanges();
+    void logTableFault(const state_error&);
     void publish();
     void updatePeers();
     availability_zone_id zoneOf(const daemon_id&) const;
@@ -62,6 +64,9 @@
     std::vector<daemon_id> m_connected;
     std::shared_ptr<const directory> m_active;
     time_point m_nextTick {};
+    bool m_isRewriting = false;
+    // Last warning about lost changes, which recurs with every read of the table.
+    std::string m_lastTableFault;
 };
 
 }
--- a/state/change_log.cpp
+++ b/state/change_log.cpp
@@ -194,6 +194,46 @@
     return std::optional(std::move(change));
 }
 
+state_result<bool> change_log::hasLost(const configuration_change& committed) const
+{
+    BOOST_OUTCOME_TRY(const std::optional<configuration_change> found, readChange(committed.version));
+    if (!found)
+        return true;
+    if (found->token != committed.token)
+        return state_error { state_errc::Conflict, rowKey(committed.version),
+            "the table has lost this change and accepted another one of \"" + found->author + "\" under its version" };
+    return false;
+}
+
+state_result<void> change_log::rewriteLost(const std::vector<configuration_change>& committed) const
+{
+    std::size_t kept = committed.size();
+    bool isLost = true;
+    while (kept > 0 && isLost) {
+        BOOST_OUTCOME_TRY(isLost, hasLost(committed[kept - 1]));
+        kept -= isLost ? 1 : 0;
+    }
+    if (kept == committed.size())
+        return boost::outcome_v2::success();
+    const config_version previous(committed[kept].version.value() - 1);
+    if (kept == 0 && previous != config_version()) {
+        BOOST_OUTCOME_TRY(const std::optional<configuration_change> found, readChange(previous));
+        if (!found)
+            return state_error { state_errc::Invalid, rowKey(previous), "the table has lost this change, which is not known here" };
+    }
+    table_transaction transaction;
+    for (std::size_t index = kept; index < committed.size(); ++index) {
+        const std::string key = rowKey(committed[index].version);
+        transaction.conditions.push_back({ key, row_revision() });
+        transaction.puts.emplace_back(key, changeToText(committed[index]));
+    }
+    const auto written = m_table.transact(transaction);
+    // A concurrent writer has written some of these rows; the next call shows which changes they hold.
+    if (!written && written.error().code != state_errc::Conflict)
+        return written.error();
+    return boost::outcome_v2::success();
+}
+
 std::optional<configuration_change> change_log::findConflictingChange(const entity_update& update) const
 {
     if (const std::optional<entity> existing = findEntity(m_current, update.kind, update.id)) {
--- a/state/change_log.h
+++ b/state/change_log.h
@@ -31,6 +31,15 @@
     // and the token to look for).
     state_result<configuration_change> append(const configuration_change&);
 
+    // Whether the table has lost this committed change, as after a restore from an earlier copy. Error Conflict: another
+    // change has been committed under its version since.
+    state_result<bool> hasLost(const configuration_change&) const;
+
+    // Writes again those of the committed changes that the table has lost, unless a concurrent writer interferes. They must
+    // be in order and without gaps. Errors: Conflict (another change has been committed under one of their versions);
+    // Invalid (the table has lost earlier changes than these); Unavailable and OutcomeUnknown (call again).
+    state_result<void> rewriteLost(const std::vector<configuration_change>&) const;
+
     // The configuration as of the last load or append.
     const configuration& current() const { return m_current; }
 
