Keep the newest configuration for callers' limits and for peers

What callers would see: a body refused with 413 by the limits of an older configuration while the newer one is in force; an entry that starts after a restore of the store serves the older routes until the operator writes again, although all others have the newer ones.

Limits and the row kept for peers were those of the row that came last, not of the newest version; and a row offered by a peer was dropped if its revision was below the known one, although the configuration has a version of its own.

Change: whatever the store returns, a configuration is ordered by its version in one life of a process: limits, routes and the row for peers change together or not at all, and a newer version from a peer is taken whatever its revision.

Evidence: three new tests of store_restore_test fail on the code before (413 instead of 200; the served row is version 7 instead of 8; 404 instead of 200) and pass now.

--- a/fleet/entry_process.cpp
+++ b/fleet/entry_process.cpp
@@ -92,7 +92,7 @@
     entry_peers peers;
     quarantine_table quarantines;
     runner_listing listing;
-    // Table rows as read from the store, served to peers that cannot reach it.
+    // Rows of the newest configuration and of the runners, served to peers.
     std::map<std::string, platform::store_row> configurationRows;
     std::map<std::string, platform::store_row> runnerRows;
     // Read of a table from another entry.
@@ -129,6 +129,9 @@
     void followConfiguration();
     void followRunners();
     void onConfigurationRows(const std::vector<platform::store_row>&);
+    // Puts a configuration in force unless it is older than the one in force, as after a restore of the store.
+    void takeConfiguration(const platform::store_row&, const std::shared_ptr<const serving_configuration>&);
+    void onPeerTable(std::string_view table, const platform::store_response&, platform::table_follower&);
     void onRunnerRows(const std::vector<platform::store_row>&, bool isFullSnapshot);
     void applyListing();
     void onStoreReachabilityChanged(const char* table, bool isReachable);
@@ -278,7 +281,7 @@
     const std::string address = ip + ":" + std::to_string(options.firstPeerPort + entryTablePortOffset);
     read = { std::make_unique<platform::store_client>(context.get_executor(), address), now };
     read.client->read(std::string(table), "", [this, key = std::string(table), now, &follower](const platform::store_response& response) {
-        follower.offerSnapshot(response);
+        onPeerTable(key, response, follower);
         boost::asio::post(context, [this, key, now] {
             // A later read may have replaced this one.
             const auto known = peerReads.find(key);
@@ -288,6 +291,14 @@
     });
 }
 
+void entry_process::implementation::onPeerTable(std::string_view table, const platform::store_response& response, platform::table_follower& follower)
+{
+    // A peer may have a newer configuration than a restored store, whose revision is higher all the same.
+    if (table == platform::configurationTable)
+        onConfigurationRows(response.rows);
+    follower.offerSnapshot(response);
+}
+
 bool entry_process::implementation::isReady() const
 {
     return entry.routes() && hasRunnerList && !isStopping;
@@ -352,23 +363,28 @@
     for (const platform::store_row& row : rows) {
         if (row.key != platform::configurationKey || row.isRemoved)
             continue;
-        configurationRows[row.key] = row;
         std::string problem;
         const auto configuration = platform::readConfiguration(row.value, problem);
-        if (!configuration) {
+        if (configuration)
+            takeConfiguration(row, configuration);
+        else
             log.write("configuration_unreadable", { { "revision", static_cast<std::int64_t>(row.revision.value()) }, { "problem", problem } });
-            continue;
-        }
-        if (configuration->version < entry.configurationVersion())
-            log.write("configuration_older", { { "version", static_cast<std::int64_t>(configuration->version.value()) }, { "revision", static_cast<std::int64_t>(row.revision.value()) } });
-        callerServer->setLimits(configuration->limits);
-        const bool isNewer = configuration->version > entry.configurationVersion();
-        entry.setConfiguration(std::make_shared<route_index>(configuration));
-        if (isNewer)
-            peers.sendVersions();
     }
 }
 
+void entry_process::implementation::takeConfiguration(const platform::store_row& row, const std::shared_ptr<const serving_configuration>& configuration)
+{
+    const config_version known = entry.configurationVersion();
+    if (configuration->version < known)
+        log.write("configuration_older", { { "version", static_cast<std::int64_t>(configuration->version.value()) }, { "revision", static_cast<std::int64_t>(row.revision.value()) } });
+    if (entry.routes() && configuration->version <= known)
+        return;
+    configurationRows[row.key] = row;
+    callerServer->setLimits(configuration->limits);
+    entry.setConfiguration(std::make_shared<route_index>(configuration));
+    peers.sendVersions();
+}
+
 void entry_process::implementation::onRunnerRows(const std::vector<platform::store_row>& rows, bool isFullSnapshot)
 {
     if (isFullSnapshot)
--- a/tests/fleet/store_restore_test.cpp
+++ b/tests/fleet/store_restore_test.cpp
@@ -1,3 +1,5 @@
+#include "fleet/fleet_message.h"
+#include "fleet/peer_ports.h"
 #include "tests/fleet/entry_fixture.h"
 #include "tests/fleet/restorable_store.h"
 
@@ -28,8 +30,8 @@
         return text.replace(text.find(known), known.size(), "\"version\":" + std::to_string(version));
     }
 
-    // Starts an entry whose store is copied at version 7 and then goes on to version 8 at a much higher revision.
-    void startWithCopy()
+    // The store is copied at version 7 and then goes on to version 8 at a much higher revision.
+    void startStoreWithCopy()
     {
         addRunner("r0", respondsWith(200, "done"));
         m_restorableStore.listen(m_settings.storeAddress);
@@ -38,12 +40,45 @@
         m_restorableStore.copy();
         m_restorableStore.skipRevisions(900);
         m_restorableStore.put("op", "config", configuration(8));
+    }
+
+    void startWithCopy()
+    {
+        startStoreWithCopy();
         startEntry();
     }
 
+    // What the entry serves to other entries that read the table of configurations from it.
+    std::string servedConfiguration()
+    {
+        const std::string address = m_settings.ip + ":" + std::to_string(m_settings.firstPeerPort + entryTablePortOffset);
+        return callAddress(address, "GET /v1/rows-get?table=op&part= HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").body;
+    }
+
+    // Lets another entry serve a row of the table of configurations, and tell that it has it.
+    void addPeerWithConfiguration(int version, const std::string& document)
+    {
+        static constexpr const char* peerIp = "127.0.0.3";
+        http_server_connection::hooks hooks;
+        hooks.onRequest = [document](const std::shared_ptr<http_server_connection>& caller, http_request_message&&) {
+            caller->respond(200, "", platform::encodeRows({ { "config", document, row_revision(901), false } }, row_revision(901)));
+        };
+        hooks.onRejected = [](int, const char*) {};
+        m_peer = std::make_shared<http_listener>(m_context.get_executor(), std::move(hooks));
+        std::string problem;
+        ASSERT_TRUE(m_peer->listen(std::string(peerIp) + ":" + std::to_string(m_settings.firstPeerPort + entryTablePortOffset), problem)) << problem;
+        using boost::asio::ip::udp;
+        entry_heartbeat_message heartbeat;
+        heartbeat.configuration = config_version(static_cast<std::uint64_t>(version));
+        udp::socket socket(m_context, udp::endpoint(boost::asio::ip::make_address(peerIp), 0));
+        const unsigned short port = m_settings.firstPeerPort + entryDatagramPortOffset;
+        socket.send_to(boost::asio::buffer(encode(heartbeat)), udp::endpoint(boost::asio::ip::make_address(m_settings.ip), port));
+    }
+
     int statusOf(const std::string& path) { return call(request("GET", path)).status; }
 
     restorable_store m_restorableStore;
+    std::shared_ptr<http_listener> m_peer;
 };
 
 // Guards against an entry that never takes what is written after a restore, because the store counts from a lower revision.
@@ -97,4 +132,47 @@
     EXPECT_FALSE(added.received.empty());
 }
 
+// Guards against the limits of an older configuration, which the store has again after a restore.
+TEST_F(store_restore, copyHasOlderConfiguration_limits_stayInForce)
+{
+    addRunner("r0", respondsWith(200, "done"));
+    m_restorableStore.listen(m_settings.storeAddress);
+    const std::string newer = configuration(8);
+    const std::string limit = "\"max_body_bytes\":10000";
+    std::string older = configuration(7);
+    older.replace(older.find(limit), limit.size(), "\"max_body_bytes\":100");
+    m_restorableStore.put("op", "config", older);
+    m_restorableStore.put("servers", "r0", m_rows.at("r0"));
+    m_restorableStore.copy();
+    m_restorableStore.put("op", "config", newer);
+    startEntry();
+    m_restorableStore.restore();
+    runFor(settleTime);
+    EXPECT_EQ(call(request("POST", "/book/x", "Authorization: Bearer k1\r\n", std::string(5000, 'b'))).status, 200);
+}
+
+// Guards against entries that give others the older configuration of a restored store while a newer one is in force.
+TEST_F(store_restore, copyHasOlderConfiguration_peerReadsTable_getsTheNewest)
+{
+    startWithCopy();
+    const std::string before = servedConfiguration();
+    m_restorableStore.restore();
+    runFor(settleTime);
+    const auto rowOf = [](const std::string& body) { return body.substr(0, body.find("\"has_more\"")); };
+    EXPECT_EQ(rowOf(servedConfiguration()), rowOf(before));
+}
+
+// Guards against an entry that starts after a restore and cannot take the newer configuration of the others, since its revision is of the
+// time before.
+TEST_F(store_restore, entryStartsWithTheCopy_peerHasNewerConfiguration_taken)
+{
+    startStoreWithCopy();
+    m_restorableStore.restore();
+    startEntry();
+    EXPECT_EQ(statusOf("/added/x"), 404);
+    addPeerWithConfiguration(9, configurationWithRoute(9));
+    runFor(settleTime);
+    EXPECT_EQ(statusOf("/added/x"), 200);
+}
+
 }
