Keep what runners reported last over the older entries of a restored store

What callers would see: requests at a runner that has said that it leaves, or that is gone, because the copy from which the store came back still shows it as ready (DRAIN); and fewer runners for two seconds when an outage of under a second ends with a copy that lacks those that registered since.

Change: a runner's report is ordered by the start of its process and its number (`seq`). Peers read the rows that are in force. A runner that is missing from the copy is kept for the time in which it registers again, as after an outage, unless it drains.

--- a/fleet/entry_process.cpp
+++ b/fleet/entry_process.cpp
@@ -132,7 +132,9 @@
     // Puts a configuration in force unless it is older than the one in force, as after a restore of the store.
     void takeConfiguration(const platform::store_row&, const std::shared_ptr<const serving_configuration>&);
     void onPeerTable(std::string_view table, const platform::store_response&, platform::table_follower&);
-    void onRunnerRows(const std::vector<platform::store_row>&, bool isFullSnapshot);
+    void onRunnerRows(const std::vector<platform::store_row>&, bool isFullSnapshot, store_epoch);
+    // Updates the rows that peers read. Rows of `ignored` runners stay as they are.
+    void updateRunnerRows(const std::vector<platform::store_row>&, bool isFullSnapshot, const std::vector<runner_id>& ignored);
     void applyListing();
     void onStoreReachabilityChanged(const char* table, bool isReachable);
     bool isReady() const;
@@ -349,7 +351,7 @@
 void entry_process::implementation::followRunners()
 {
     platform::table_follower::hooks hooks = followerHooks("runners");
-    hooks.rows = [this](const std::vector<platform::store_row>& rows, bool isFullSnapshot, store_revision) { onRunnerRows(rows, isFullSnapshot); };
+    hooks.rows = [this](const std::vector<platform::store_row>& rows, bool isFullSnapshot, store_revision revision) { onRunnerRows(rows, isFullSnapshot, revision.epoch); };
     platform::table_follower::settings followerSettings;
     followerSettings.table = std::string(platform::runnerTable);
     followerSettings.pause = runnerListPollPause;
@@ -385,16 +387,10 @@
     peers.sendVersions();
 }
 
-void entry_process::implementation::onRunnerRows(const std::vector<platform::store_row>& rows, bool isFullSnapshot)
+void entry_process::implementation::onRunnerRows(const std::vector<platform::store_row>& rows, bool isFullSnapshot, store_epoch epoch)
 {
-    if (isFullSnapshot)
-        runnerRows.clear();
     std::vector<runner_listing::change> changes;
     for (const platform::store_row& row : rows) {
-        if (row.isRemoved)
-            runnerRows.erase(row.key);
-        else
-            runnerRows[row.key] = row;
         runner_listing::change change { runner_id(row.key), std::nullopt };
         if (!row.isRemoved) {
             change.runner = platform::readRunner(row.key, row.value);
@@ -403,7 +399,10 @@
         }
         changes.push_back(std::move(change));
     }
-    listing.apply(changes, isFullSnapshot, steadyNow());
+    const std::vector<runner_id> ignored = listing.apply(changes, isFullSnapshot, steadyNow(), epoch);
+    for (const runner_id& id : ignored)
+        log.write("runner_entry_older", { { "runner", id.value() }, { "epoch", static_cast<std::int64_t>(epoch.value()) } });
+    updateRunnerRows(rows, isFullSnapshot, ignored);
     hasRunnerList = hasRunnerList || isFullSnapshot;
     if (isFullSnapshot || !changes.empty())
         applyListing();
@@ -412,6 +411,26 @@
         peers.sendVersions();
 }
 
+void entry_process::implementation::updateRunnerRows(const std::vector<platform::store_row>& rows, bool isFullSnapshot, const std::vector<runner_id>& ignored)
+{
+    std::map<std::string, platform::store_row> known;
+    if (isFullSnapshot)
+        known.swap(runnerRows);
+    for (const platform::store_row& row : rows) {
+        if (row.isRemoved)
+            runnerRows.erase(row.key);
+        else
+            runnerRows[row.key] = row;
+    }
+    for (const runner_id& id : ignored) {
+        const auto before = known.find(id.value());
+        if (before == known.end())
+            runnerRows.erase(id.value());
+        else
+            runnerRows[id.value()] = before->second;
+    }
+}
+
 void entry_process::implementation::applyListing()
 {
     const std::vector<listed_runner> runners = listing.runners(steadyNow());
--- a/serving/listed_runner.h
+++ b/serving/listed_runner.h
@@ -19,6 +19,8 @@
     bool isDraining = false;
     // Start time of the runner's process in Unix ms. 0 if unknown.
     std::uint64_t startedAtMs = 0;
+    // Number of the runner's report that this entry is from. Later reports of one process have higher numbers.
+    std::uint64_t reportNumber = 0;
 
     friend bool operator==(const listed_runner&, const listed_runner&) = default;
 };
--- a/serving/runner_listing.cpp
+++ b/serving/runner_listing.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <string>
 #include <unordered_set>
+#include <utility>
 
 namespace sardinelb {
 
@@ -16,6 +17,9 @@
 // A shorter outage cannot make entries expire: they live for three heartbeats of a second or so.
 constexpr duration minExpiringOutage = std::chrono::milliseconds(1000);
 
+// A copy from which the store is restored is not older than this.
+constexpr duration removedMemory = std::chrono::minutes(10);
+
 std::uint64_t digestOf(const std::vector<listed_runner>& runners)
 {
     stable_hash digest;
@@ -31,20 +35,24 @@
 
 }
 
-void runner_listing::apply(const std::vector<change>& changes, bool isFullSnapshot, time_point now)
+std::vector<runner_id> runner_listing::apply(const std::vector<change>& changes, bool isFullSnapshot, time_point now, store_epoch epoch)
 {
+    onEpoch(epoch, now);
+    std::vector<runner_id> ignored;
     std::unordered_set<runner_id> present;
     for (const change& entry : changes) {
         present.insert(entry.id);
-        if (entry.runner) {
-            m_runners[entry.id] = *entry.runner;
+        if (isFullSnapshot && isBroughtBack(entry, epoch)) {
+            ignored.push_back(entry.id);
             m_expiryTimes.erase(entry.id);
+        } else if (entry.runner) {
+            set(*entry.runner, epoch);
         } else {
             remove(entry.id, now);
         }
     }
     if (!isFullSnapshot)
-        return;
+        return ignored;
     std::vector<runner_id> missing;
     for (const auto& [id, runner] : m_runners) {
         if (!present.contains(id))
@@ -52,6 +60,33 @@
     }
     for (const runner_id& id : missing)
         remove(id, now);
+    return ignored;
+}
+
+void runner_listing::onEpoch(store_epoch epoch, time_point now)
+{
+    if (m_epoch && epoch <= *m_epoch)
+        return;
+    // Runners that registered after the copy was made register again.
+    if (m_epoch)
+        m_reachableAgainAt = now;
+    m_epoch = epoch;
+}
+
+bool runner_listing::isBroughtBack(const change& entry, store_epoch epoch) const
+{
+    const auto known = m_lastReports.find(entry.id);
+    if (!entry.runner || known == m_lastReports.end() || epoch <= known->second.epoch)
+        return false;
+    const last_report& last = known->second;
+    return std::pair(entry.runner->startedAtMs, entry.runner->reportNumber) <= std::pair(last.startedAtMs, last.number);
+}
+
+void runner_listing::set(const listed_runner& runner, store_epoch epoch)
+{
+    m_runners[runner.id] = runner;
+    m_expiryTimes.erase(runner.id);
+    m_lastReports[runner.id] = { runner.startedAtMs, runner.reportNumber, epoch, std::nullopt };
 }
 
 void runner_listing::remove(const runner_id& id, time_point now)
@@ -60,12 +95,20 @@
     if (known == m_runners.end())
         return;
     const bool mayHaveExpired = m_reachableAgainAt && now < *m_reachableAgainAt + reregistrationTime && !known->second.isDraining;
-    if (mayHaveExpired) {
+    if (mayHaveExpired)
         m_expiryTimes.emplace(id, *m_reachableAgainAt + reregistrationTime);
-        return;
-    }
-    m_runners.erase(known);
+    else
+        erase(id, now);
+}
+
+void runner_listing::erase(const runner_id& id, time_point now)
+{
+    m_runners.erase(id);
     m_expiryTimes.erase(id);
+    last_report& last = m_lastReports[id];
+    last.epoch = m_epoch.value_or(store_epoch {});
+    last.removedAt = now;
+    std::erase_if(m_lastReports, [&](const auto& report) { return report.second.removedAt && now - *report.second.removedAt > removedMemory; });
 }
 
 void runner_listing::onStoreReachabilityChanged(bool isReachable, time_point now)
@@ -81,12 +124,13 @@
 
 std::vector<listed_runner> runner_listing::runners(time_point now)
 {
-    std::erase_if(m_expiryTimes, [&](const auto& entry) {
-        if (now < entry.second)
-            return false;
-        m_runners.erase(entry.first);
-        return true;
-    });
+    std::vector<runner_id> expired;
+    for (const auto& [id, until] : m_expiryTimes) {
+        if (now >= until)
+            expired.push_back(id);
+    }
+    for (const runner_id& id : expired)
+        erase(id, now);
     // After a crash, the entries of the old and the new process coexist for some seconds.
     std::unordered_map<std::string, const listed_runner*> newest;
     for (const auto& [id, runner] : m_runners) {
--- a/tests/fleet/serving_decisions_test.cpp
+++ b/tests/fleet/serving_decisions_test.cpp
@@ -203,6 +203,14 @@
     {
         return { store_epoch(epoch), row_revision(value) };
     }
+
+    static listed_runner reported(const std::string& id, const std::string& address, std::uint64_t number, bool isDraining)
+    {
+        listed_runner runner = runnerAt(id, address, 1);
+        runner.reportNumber = number;
+        runner.isDraining = isDraining;
+        return runner;
+    }
 };
 
 // Guards against losing all runners when their entries expire while the store is unreachable and cannot be renewed.
@@ -246,6 +254,42 @@
     EXPECT_EQ(reconcile({ revision(9), 1 }, { revision(8), 99 }), list_action::None);
 }
 
+// Guards against requests to a runner that drains or is gone, whose older entry a restore of the store has brought back.
+TEST_F(runner_list, storeRestored_drainingAndRemovedRunners_notBroughtBack)
+{
+    runner_listing listing;
+    listing.apply({ { runner_id("r1"), reported("r1", "a:1", 4, false) }, { runner_id("r2"), reported("r2", "a:2", 4, false) } }, true, at(seconds(1)));
+    listing.apply({ { runner_id("r1"), reported("r1", "a:1", 6, true) }, { runner_id("r2"), std::nullopt } }, false, at(seconds(2)));
+    const auto ignored = listing.apply({ { runner_id("r1"), reported("r1", "a:1", 4, false) }, { runner_id("r2"), reported("r2", "a:2", 4, false) } }, true, at(seconds(3)), store_epoch(1));
+    EXPECT_EQ(ignored.size(), 2U);
+    const auto runners = listing.runners(at(seconds(3)));
+    ASSERT_EQ(runners.size(), 1U);
+    EXPECT_TRUE(runners.front().isDraining);
+}
+
+// Guards against ignoring a runner that reports again after a restore, whether a change or a snapshot shows it.
+TEST_F(runner_list, storeRestored_runnersReportAgain_listed)
+{
+    runner_listing listing;
+    listing.apply({ { runner_id("r1"), reported("r1", "a:1", 4, false) }, { runner_id("r2"), reported("r2", "a:2", 4, false) } }, true, at(seconds(1)));
+    listing.apply({ { runner_id("r1"), std::nullopt }, { runner_id("r2"), std::nullopt } }, false, at(seconds(2)));
+    listing.apply({ { runner_id("r1"), reported("r1", "a:1", 7, false) } }, true, at(seconds(3)), store_epoch(1));
+    EXPECT_EQ(listing.runners(at(seconds(3))).size(), 1U);
+    listing.apply({ { runner_id("r2"), reported("r2", "a:2", 1, false) } }, false, at(seconds(4)), store_epoch(1));
+    EXPECT_EQ(listing.runners(at(seconds(4))).size(), 2U);
+}
+
+// Guards against losing runners that registered after the copy was made, before they have had time to register again.
+TEST_F(runner_list, storeRestored_runnerMissingFromCopy_keptUntilReregistration)
+{
+    runner_listing listing;
+    listing.apply({ { runner_id("r1"), reported("r1", "a:1", 4, false) }, { runner_id("r2"), reported("r2", "a:2", 4, true) } }, true, at(seconds(1)));
+    listing.apply({}, true, at(seconds(3)), store_epoch(1));
+    ASSERT_EQ(listing.runners(at(seconds(4))).size(), 1U);
+    EXPECT_FALSE(listing.runners(at(seconds(4))).front().isDraining);
+    EXPECT_TRUE(listing.runners(at(milliseconds(5200))).empty());
+}
+
 // Guards against an entry that takes the rows before a restore of the store for newer than those after it.
 TEST_F(runner_list, storeRestored_lowerRevisionOfTheNewEpoch_readFromPeer)
 {
--- a/tests/fleet/store_restore_test.cpp
+++ b/tests/fleet/store_restore_test.cpp
@@ -175,4 +175,25 @@
     EXPECT_EQ(statusOf("/added/x"), 200);
 }
 
+// Guards against new requests to a runner that drains, whose older entry a restore of the store has brought back.
+TEST_F(store_restore, copyShowsDrainingRunnerAsReady_requests_goToTheOther)
+{
+    startWithCopy();
+    stand_in_runner& draining = addRunner("r1", respondsWith(200, "done"));
+    m_restorableStore.put("servers", "r1", m_rows.at("r1"));
+    m_restorableStore.copy();
+    runFor(settleTime);
+    std::string row = m_rows.at("r1");
+    row.replace(row.find("\"ready\""), 7, "\"draining\"");
+    row.replace(row.find("\"seq\":1"), 7, "\"seq\":5");
+    m_restorableStore.put("servers", "r1", row);
+    runFor(settleTime);
+    const std::size_t before = draining.received.size();
+    m_restorableStore.restore();
+    runFor(settleTime);
+    for (int i = 0; i < 20; ++i)
+        EXPECT_EQ(statusOf("/look/x"), 200);
+    EXPECT_EQ(draining.received.size(), before);
+}
+
 }
