Write quarantined prompt parts again after a restore of the store

What callers would see: after a restart of all entries, prompts that crash runners reach them again, because the store has lost the rows of their quarantines.

Cause: a row that the store had acknowledged was forgotten, although a restore can lose it; "what was acknowledged stays" no longer holds across restores.

Change: an entry keeps the rows that it has written until their quarantines end, with the number of restores at which each was acknowledged, and writes those again that are from before the last restore, which any call or another entry's heartbeat may show.

Evidence: store_restore.quarantineStored_storeRestored_writtenAgain fails on the code before (one write instead of two) and passes now. Open: rows written by entries that have ended since are not written again; the others know these parts from heartbeats.

--- a/fleet/entry_process.cpp
+++ b/fleet/entry_process.cpp
@@ -317,6 +317,7 @@
     metrics.count("store_restored");
     configurationFollower->onStoreRestored();
     runnerFollower->onStoreRestored();
+    quarantines.onStoreRestored();
 }
 
 platform::table_follower::hooks entry_process::implementation::followerHooks(const char* name)
--- a/fleet/quarantine_table.cpp
+++ b/fleet/quarantine_table.cpp
@@ -6,6 +6,8 @@
 #include "platform/quarantine_row.h"
 #include "platform/store_client.h"
 
+#include <algorithm>
+
 namespace sardinelb {
 
 namespace {
@@ -62,17 +64,28 @@
 void quarantine_table::save(const prompt_part_evidence& evidence)
 {
     const std::string value = platform::encodeQuarantine(evidence, std::chrono::system_clock::now());
-    m_pending[platform::quarantineKey(evidence)] = { value, steadyNow() + evidence.quarantineLeft };
+    m_rows[platform::quarantineKey(evidence)] = { value, steadyNow() + evidence.quarantineLeft, std::nullopt };
+    write();
+}
+
+void quarantine_table::onStoreRestored()
+{
     write();
 }
 
+bool quarantine_table::isStored(const saved_row& row) const
+{
+    return row.storedIn && *row.storedIn >= m_store.epoch();
+}
+
 void quarantine_table::write()
 {
-    std::erase_if(m_pending, [now = steadyNow()](const auto& row) { return now > row.second.giveUpAt; });
-    if (m_isWriting || m_pending.empty())
+    std::erase_if(m_rows, [now = steadyNow()](const auto& row) { return now > row.second.endsAt; });
+    const auto next = std::find_if(m_rows.begin(), m_rows.end(), [this](const auto& row) { return !isStored(row.second); });
+    if (m_isWriting || next == m_rows.end())
         return;
     m_isWriting = true;
-    const auto& [key, row] = *m_pending.begin();
+    const auto& [key, row] = *next;
     m_store.write({ std::string(platform::quarantineTable), key, row.value }, [this, key = key, value = row.value](bool isDone) { onWritten(key, value, isDone); });
 }
 
@@ -85,9 +98,9 @@
         return;
     }
     // A later quarantine of the part may have replaced the row meanwhile.
-    const auto known = m_pending.find(key);
-    if (known != m_pending.end() && known->second.value == value)
-        m_pending.erase(known);
+    const auto known = m_rows.find(key);
+    if (known != m_rows.end() && known->second.value == value)
+        known->second.storedIn = m_store.epoch();
     write();
 }
 
--- a/tests/fleet/store_restore_test.cpp
+++ b/tests/fleet/store_restore_test.cpp
@@ -10,6 +10,13 @@
     // Time within which an entry must know what the store holds.
     static constexpr std::chrono::milliseconds settleTime { 1000 };
 
+    static constexpr int crashingRunnerCount = 8;
+
+    // Enough answers for the entry to know which parts of prompts are harmless.
+    static constexpr int ordinaryRequests = 30;
+
+    static constexpr int crashesUntilQuarantine = 2;
+
     store_restore()
         : m_restorableStore(m_context)
     {
@@ -48,6 +55,30 @@
         startEntry();
     }
 
+    // Runners that stream one event, and that end when they begin an answer to a prompt with the part `dead`.
+    void addCrashingRunners()
+    {
+        for (int i = 0; i < crashingRunnerCount; ++i) {
+            const std::string id = "c" + std::to_string(i);
+            stand_in_runner& runner = addRunner(id, {});
+            runner.onRequest = [raw = &runner](const std::shared_ptr<http_server_connection>& caller, const http_request_message& message) {
+                if (fieldOf(message, "Prefix-Hash").find("dead:") == std::string::npos) {
+                    caller->respond(200, "Attempt-Id: a1\r\nServer-Seal: s.1\r\nContent-Type: text/event-stream\r\n", "id: 1\ndata: x\n\n");
+                    return;
+                }
+                raw->server->stopAccepting();
+                caller->abort();
+            };
+            m_restorableStore.put("servers", id, m_rows.at(id));
+        }
+        m_restorableStore.remove("servers", "r0");
+    }
+
+    caller_result generate(const std::string& parts)
+    {
+        return call(request("POST", "/write/x", "Authorization: Bearer k1\r\nPrefix-Hash: " + parts + "\r\n", "prompt"));
+    }
+
     // What the entry serves to other entries that read the table of configurations from it.
     std::string servedConfiguration()
     {
@@ -196,4 +227,22 @@
     EXPECT_EQ(draining.received.size(), before);
 }
 
+// Guards against a quarantined prompt part that a restored store has lost, so that it crashes runners again after a restart of all entries.
+TEST_F(store_restore, quarantineStored_storeRestored_writtenAgain)
+{
+    startStoreWithCopy();
+    addCrashingRunners();
+    startEntry();
+    for (int i = 0; i < ordinaryRequests; ++i)
+        ASSERT_EQ(generate("a:40,b:60,c" + std::to_string(i) + ":9").status, 200);
+    for (int i = 0; i < crashesUntilQuarantine; ++i)
+        generate("a:40,dead:60,d" + std::to_string(i) + ":9");
+    runFor(settleTime);
+    ASSERT_EQ(m_restorableStore.writes().size(), 1U);
+    m_restorableStore.restore();
+    runFor(settleTime);
+    ASSERT_EQ(m_restorableStore.writes().size(), 2U);
+    EXPECT_EQ(m_restorableStore.writes().front(), m_restorableStore.writes().back());
+}
+
 }
