Take entries of a restored store that are the runners' last reports

Only entries with a lower number are ignored now, and those with the same number if the runner's entry had been removed since. No change for the list of runners.

--- a/serving/runner_listing.cpp
+++ b/serving/runner_listing.cpp
@@ -79,7 +79,9 @@
     if (!entry.runner || known == m_lastReports.end() || epoch <= known->second.epoch)
         return false;
     const last_report& last = known->second;
-    return std::pair(entry.runner->startedAtMs, entry.runner->reportNumber) <= std::pair(last.startedAtMs, last.number);
+    const std::pair restored(entry.runner->startedAtMs, entry.runner->reportNumber);
+    const std::pair reported(last.startedAtMs, last.number);
+    return restored < reported || (last.removedAt && restored == reported);
 }
 
 void runner_listing::set(const listed_runner& runner, store_epoch epoch)
--- a/tests/fleet/serving_decisions_test.cpp
+++ b/tests/fleet/serving_decisions_test.cpp
@@ -262,6 +262,8 @@
     listing.apply({ { runner_id("r1"), reported("r1", "a:1", 6, true) }, { runner_id("r2"), std::nullopt } }, false, at(seconds(2)));
     const auto ignored = listing.apply({ { runner_id("r1"), reported("r1", "a:1", 4, false) }, { runner_id("r2"), reported("r2", "a:2", 4, false) } }, true, at(seconds(3)), store_epoch(1));
     EXPECT_EQ(ignored.size(), 2U);
+    const auto again = listing.apply({ { runner_id("r1"), reported("r1", "a:1", 6, true) } }, true, at(seconds(3)), store_epoch(2));
+    EXPECT_TRUE(again.empty());
     const auto runners = listing.runners(at(seconds(3)));
     ASSERT_EQ(runners.size(), 1U);
     EXPECT_TRUE(runners.front().isDraining);
