Reuse no connection on which more than the answer has arrived

Seen: when a service answers a call twice, the next call on that connection got the second answer to the call before, or failed on bytes that are none. Runners may do so (orders, reports); a report or an order of another moment was then taken for the current one. Cause: the client kept a connection without looking for bytes after the response, neither in its buffer nor in the socket. Change: a connection with bytes in the buffer isn't kept, and one on which anything has arrived while idle, its end included, isn't reused. A second answer that arrives only after the next call was sent can't be told apart by this; these calls carry no id. Evidence: three of the four new tests fail on the code before ("/first" for "/second"); the fourth, that a sound connection is reused, passed before.

--- a/relay/http_call_client.cpp
+++ b/relay/http_call_client.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <array>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -57,6 +58,7 @@
     std::unordered_map<std::string, std::vector<std::shared_ptr<pooled_connection>>> idle;
 
     std::shared_ptr<pooled_connection> takeIdle(const std::string& address);
+    static bool hasReceivedNothing(pooled_connection&);
     void send(const std::shared_ptr<pooled_connection>&);
     void finish(const std::shared_ptr<pooled_connection>&, const error_code&);
 };
@@ -67,12 +69,25 @@
     while (!idleConnections.empty()) {
         auto last = std::move(idleConnections.back());
         idleConnections.pop_back();
-        if (std::chrono::steady_clock::now() - last->idleSince < maxIdleTime)
+        if (std::chrono::steady_clock::now() - last->idleSince < maxIdleTime && hasReceivedNothing(*last))
             return last;
     }
     return nullptr;
 }
 
+// Whether neither bytes nor the end of the connection have arrived since its last response. Bytes that have belong to no call.
+bool http_call_client::implementation::hasReceivedNothing(pooled_connection& connection)
+{
+    asio::ip::tcp::socket& socket = connection.stream.socket();
+    error_code error;
+    socket.non_blocking(true, error);
+    if (error)
+        return false;
+    std::array<char, 1> byte {};
+    socket.receive(asio::buffer(byte), asio::socket_base::message_peek, error);
+    return error == asio::error::would_block;
+}
+
 void http_call_client::implementation::send(const std::shared_ptr<pooled_connection>& connection)
 {
     http::async_write(connection->stream, connection->request, [self = shared_from_this(), connection](const error_code& error, std::size_t) {
@@ -104,7 +119,8 @@
     auto message = connection->parser->release();
     connection->parser.reset();
     auto& idleConnections = idle[connection->address];
-    if (isKeepAlive && idleConnections.size() < maxIdleConnectionsPerAddress) {
+    const bool hasExtraBytes = connection->input.size() > 0;
+    if (isKeepAlive && !hasExtraBytes && idleConnections.size() < maxIdleConnectionsPerAddress) {
         connection->idleSince = std::chrono::steady_clock::now();
         idleConnections.push_back(connection);
     }
--- /dev/null
+++ b/tests/fleet/call_client_test.cpp
@@ -0,0 +1,110 @@
+#include "relay/http_call_client.h"
+#include "tests/support/scripted_server.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+
+namespace sardinelb::test {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Calls to a service that may send bytes after its answer.
+class call_client : public testing::Test {
+protected:
+    static std::string response(const std::string& body)
+    {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+    // Answers each request with its target. `extra` follows the first answer on a connection after `delay`.
+    void startServer(const std::string& extra, milliseconds delay)
+    {
+        m_server = std::make_unique<scripted_server>([this, extra, delay](raw_connection& connection) {
+            ++m_connections;
+            bool isFirst = true;
+            while (true) {
+                const std::string request = connection.receiveUntil("\r\n\r\n");
+                if (!request.ends_with("\r\n\r\n"))
+                    return;
+                const std::string answer = response(request.substr(4, request.find(' ', 4) - 4));
+                if (isFirst && delay == milliseconds(0)) {
+                    connection.send(answer + extra);
+                } else {
+                    connection.send(answer);
+                    std::this_thread::sleep_for(isFirst ? delay : milliseconds(0));
+                    connection.send(isFirst ? extra : "");
+                }
+                isFirst = false;
+            }
+        });
+    }
+
+    std::string call(const std::string& target)
+    {
+        std::string body = "no response";
+        bool isEnded = false;
+        http_call_client::call request;
+        request.address = "127.0.0.1:" + std::to_string(m_server->port());
+        request.target = target;
+        m_client.start(request, [&](std::optional<http_call_client::reply> reply) {
+            if (reply)
+                body = reply->body;
+            isEnded = true;
+        });
+        m_context.restart();
+        const auto begin = std::chrono::steady_clock::now();
+        while (!isEnded && std::chrono::steady_clock::now() - begin < seconds(5))
+            m_context.run_one_for(milliseconds(20));
+        EXPECT_TRUE(isEnded);
+        return body;
+    }
+
+    std::atomic<int> m_connections = 0;
+    std::unique_ptr<scripted_server> m_server;
+    boost::asio::io_context m_context;
+    http_call_client m_client { m_context.get_executor() };
+};
+
+// Guards against a call that gets the second answer to the call before it.
+TEST_F(call_client, answerSentTwiceAtOnce_nextCall_getsItsOwn)
+{
+    startServer(response("/first"), milliseconds(0));
+    EXPECT_EQ(call("/first"), "/first");
+    EXPECT_EQ(call("/second"), "/second");
+}
+
+TEST_F(call_client, answerSentTwiceLate_nextCall_getsItsOwn)
+{
+    startServer(response("/first"), milliseconds(20));
+    EXPECT_EQ(call("/first"), "/first");
+    std::this_thread::sleep_for(milliseconds(100));
+    EXPECT_EQ(call("/second"), "/second");
+}
+
+TEST_F(call_client, bytesThatAreNoAnswer_nextCall_getsItsOwn)
+{
+    startServer("\r\nx", milliseconds(20));
+    EXPECT_EQ(call("/first"), "/first");
+    std::this_thread::sleep_for(milliseconds(100));
+    EXPECT_EQ(call("/second"), "/second");
+}
+
+// Guards against a new connection for each call.
+TEST_F(call_client, oneAnswerEach_nextCall_reusesTheConnection)
+{
+    startServer("", milliseconds(0));
+    EXPECT_EQ(call("/first"), "/first");
+    EXPECT_EQ(call("/second"), "/second");
+    EXPECT_EQ(m_connections, 1);
+}
+
+}
