Read a caller's bytes into memory that parsing does not move

Cause: while a request is served, a read into the free part of the input buffer is pending. When the next request in the buffer is then parsed and used up, the buffer starts again at its beginning. The read still writes to the old place, and its length is committed at the new one, where the bytes of the requests before still are. The new test fails on the code before, and passes now.

--- a/relay/http_server_connection.cpp
+++ b/relay/http_server_connection.cpp
@@ -69,6 +69,8 @@
     caller_limits limits;
     std::shared_ptr<const hooks> callbacks;
     asio::steady_timer timer;
+    // Receives the current read. A read is pending while `input` is parsed, so it must not write there.
+    std::array<char, readSizeBytes> received {};
     boost::beast::flat_buffer input;
     std::optional<http::request_parser<http::string_body>> parser;
     phase currentPhase = phase::Idle;
@@ -151,7 +153,7 @@
     if (isReading || currentPhase == phase::Closed || input.size() > maxReadAheadBytes + limits.maxHeaderBytes)
         return;
     isReading = true;
-    socket.async_read_some(input.prepare(readSizeBytes), [self](const error_code& error, std::size_t count) {
+    socket.async_read_some(asio::buffer(received), [self](const error_code& error, std::size_t count) {
         implementation& connection = *self->m_implementation;
         connection.isReading = false;
         if (connection.currentPhase == phase::Closed)
@@ -160,6 +162,7 @@
             connection.close(self.get());
             return;
         }
+        asio::buffer_copy(connection.input.prepare(count), asio::buffer(connection.received, count));
         connection.input.commit(count);
         // Bytes of the next request stay buffered until the current one is done.
         if (connection.currentPhase == phase::Idle || connection.currentPhase == phase::Reading)
--- a/tests/fleet/server_connection_test.cpp
+++ b/tests/fleet/server_connection_test.cpp
@@ -81,6 +81,30 @@
     EXPECT_TRUE(m_rejected.empty());
 }
 
+// Guards against serving the bytes of an earlier request once more when the next ones arrive before its response.
+TEST_F(server_connection, requestsSentBeforeTheResponse_eachServedOnceInOrder)
+{
+    std::vector<std::string> served;
+    listen([&](const std::shared_ptr<http_server_connection>& caller, const http_request_message& message) {
+        served.push_back(message.target);
+        auto timer = std::make_shared<boost::asio::steady_timer>(m_context, milliseconds(30));
+        timer->async_wait([timer, caller, target = message.target](const boost::system::error_code&) { caller->respond(200, "", target); });
+    });
+    runCaller([](raw_connection& connection) {
+        connection.send(request("/first"));
+        std::this_thread::sleep_for(milliseconds(10));
+        connection.send(request("/second") + request("/third"));
+        connection.receiveUntil("/first");
+        connection.receiveUntil("/second");
+        connection.receiveUntil("/third");
+        connection.send(request("/fourth"));
+        connection.receiveUntil("\r\n\r\n");
+        EXPECT_EQ(connection.receiveBytes(7), "/fourth");
+    });
+    EXPECT_EQ(served, (std::vector<std::string> { "/first", "/second", "/third", "/fourth" }));
+    EXPECT_TRUE(m_rejected.empty());
+}
+
 // Guards against a second head in the middle of a response.
 TEST_F(server_connection, respond_streamOpen_connectionClosed)
 {
