Reject deeply nested documents before they are parsed

A daemon ended when it checked a document of the own interface with one deeply nested value of the wrong type: the message shows that value, and writing, copying and comparing a nlohmann value calls itself for each level, until the stack is full. Parsing itself doesn't. Before, odd_document_test ends with a segmentation fault (exit 139) in valueNestedHundredThousandsDeep_read_faultOnly, at 400000 levels, which is a document of 800 kB.

Text nested more than 256 levels deep is now a fault of the document. Brackets are counted before the parser runs, so that no value of such depth exists.

--- a/state/object_reader.cpp
+++ b/state/object_reader.cpp
@@ -1,5 +1,7 @@
 #include "state/object_reader.h"
 
+#include "state/bounded_json.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -236,6 +238,10 @@
 
 json parseStrictJson(std::string_view text, const std::string& location, document_faults& faults)
 {
+    if (isNestedTooDeeply(text)) {
+        faults.push_back({ location, "", "", "nested too deeply" });
+        return {};
+    }
     try {
         repeated_key_check check;
         json parsed = json::parse(text, std::ref(check));
