Read deeply nested messages of the own interface as unreadable

A peer without the shared key could end a daemon with the first message of its connection: reading a field by value() copies it, and copies of nlohmann values call themselves for each level. A claim's row of another writer ended each daemon that read it. Before, nested_message_test ends with a segmentation fault (exit 139) in challengeNestedDeeply_read_badMessage and in claimNestedDeeply_read_noClaim, at 400000 levels. Chat requests of such depth were malformed before, too; that case stays as a guard.

Handshakes, claims, chat requests and responses of the table service are now parsed by parseBoundedJson, which discards what is nested more than 256 levels deep. The table client copies fields in the same way; its case was not run before the change. The client of runners does so, too, and isn't changed here.

--- a/coordination/claims/claim_record.cpp
+++ b/coordination/claims/claim_record.cpp
@@ -1,5 +1,7 @@
 #include "coordination/claims/claim_record.h"
 
+#include "state/bounded_json.h"
+
 #include <nlohmann/json.hpp>
 
 #include <array>
@@ -35,7 +37,7 @@
 
 std::optional<claim_record> claimFromText(std::string_view text)
 {
-    const json fields = json::parse(text, nullptr, false);
+    const json fields = parseBoundedJson(text);
     if (!fields.is_object() || !fields.value("token", json()).is_string()
         || !fields.value("request", json()).is_string())
         return std::nullopt;
--- a/protocol/chat_request.cpp
+++ b/protocol/chat_request.cpp
@@ -1,5 +1,7 @@
 #include "protocol/chat_request.h"
 
+#include "state/bounded_json.h"
+
 #include <nlohmann/json.hpp>
 
 #include <utility>
@@ -68,7 +70,7 @@
 
 protocol_result<chat_request> parseChatRequest(std::string_view text)
 {
-    const json body = json::parse(text, nullptr, false);
+    const json body = parseBoundedJson(text);
     if (body.is_discarded() || !body.is_object())
         return malformed("body", "must be a JSON object");
     const auto model = body.find("model");
--- a/transport/handshake.cpp
+++ b/transport/handshake.cpp
@@ -1,5 +1,6 @@
 #include "transport/handshake.h"
 
+#include "state/bounded_json.h"
 #include "state/hex_text.h"
 
 #include <nlohmann/json.hpp>
@@ -59,7 +60,7 @@
 
 transport_result<std::string> readChallenge(const std::string& text)
 {
-    const json message = json::parse(text, nullptr, false);
+    const json message = parseBoundedJson(text);
     if (!message.is_object() || message.value("protocol", json()) != protocolVersion
         || !message.value("nonce", json()).is_string())
         return handshakeError(transport_errc::BadMessage, "not a challenge of protocol version 1");
@@ -77,7 +78,7 @@
 transport_result<peer_identity> readProof(const std::string& key, bool dialler, const std::string& text,
     const std::string& acceptorNonce, std::string& diallerNonce)
 {
-    const json message = json::parse(text, nullptr, false);
+    const json message = parseBoundedJson(text);
     if (!message.is_object() || !message.value("daemon", json()).is_string()
         || !message.value("incarnation", json()).is_number_unsigned() || !message.value("nonce", json()).is_string()
         || !message.value("proof", json()).is_string())
--- a/transport/table_client.cpp
+++ b/transport/table_client.cpp
@@ -1,5 +1,6 @@
 #include "transport/table_client.h"
 
+#include "state/bounded_json.h"
 #include "transport/blocking_http_client.h"
 
 #include <nlohmann/json.hpp>
@@ -113,7 +114,7 @@
         const auto reply = call("POST", "/v1/transact", toJson(transaction).dump());
         if (!reply)
             return writeFailure(reply.error());
-        const json body = json::parse(reply.value().body, nullptr, false);
+        const json body = parseBoundedJson(reply.value().body);
         if (reply.value().status == statusOk && body.is_object() && body.value("revision", json()).is_number_unsigned())
             return row_revision(body["revision"].get<std::uint64_t>());
         if (reply.value().status == statusConflict && body.is_object() && body.value("failed", json()).is_object()) {
@@ -134,7 +135,7 @@
             return std::optional<table_row>();
         if (reply.value().status != statusOk)
             return statusFailure(reply.value().status);
-        auto row = rowFrom(json::parse(reply.value().body, nullptr, false));
+        auto row = rowFrom(parseBoundedJson(reply.value().body));
         if (!row)
             return invalidResponse();
         return row;
@@ -149,7 +150,7 @@
             return readFailure(reply.error());
         if (reply.value().status != statusOk)
             return statusFailure(reply.value().status);
-        const json body = json::parse(reply.value().body, nullptr, false);
+        const json body = parseBoundedJson(reply.value().body);
         if (!body.is_object() || !body.value("rows", json()).is_array())
             return invalidResponse();
         std::vector<table_row> rows;
