Write log lines that are JSON whatever the fields hold

Texts from other processes, such as the name of a group in a datagram, and quotients such as a pace may be no UTF-8 or no number. The line was then no JSON, and whoever reads the log lost it.

Bytes that begin no character are written as "?", numbers without a value as null. Numbers from 1e15 on are written with an exponent, since their digits didn't fit the buffer and were cut off.

--- a/fleet/event_log.cpp
+++ b/fleet/event_log.cpp
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <cerrno>
+#include <cmath>
 #include <cstdio>
 
 namespace sardinelb {
@@ -14,10 +15,40 @@
 // Limit per event. An entry serves about 50 requests per second at peak.
 constexpr std::uint32_t maxLinesPerSecond = 60;
 
+// Number of bytes of the character that `text` begins with, or 0 if it begins with none in UTF-8.
+std::size_t characterLength(std::string_view text)
+{
+    constexpr std::array<unsigned char, 3> leads { 0xc0, 0xe0, 0xf0 };
+    constexpr std::array<std::uint32_t, 3> lowest { 0x80, 0x800, 0x10000 };
+    const auto first = static_cast<unsigned char>(text.front());
+    if (first < 0x80)
+        return 1;
+    if (first < leads.front() || first > 0xf7)
+        return 0;
+    const std::size_t extra = first >= leads[2] ? 3 : first >= leads[1] ? 2
+                                                                        : 1;
+    std::uint32_t character = first & (0x3fU >> extra);
+    for (std::size_t i = 1; i <= extra; ++i) {
+        const unsigned char next = i < text.size() ? static_cast<unsigned char>(text[i]) : 0;
+        if ((next & 0xc0U) != 0x80)
+            return 0;
+        character = (character << 6U) | (next & 0x3fU);
+    }
+    const bool isSurrogate = character >= 0xd800 && character <= 0xdfff;
+    return character < lowest.at(extra - 1) || character > 0x10ffff || isSurrogate ? 0 : extra + 1;
+}
+
 void appendText(std::string& line, std::string_view text)
 {
     line += '"';
-    for (const char c : text) {
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const char c = text[i];
+        const std::size_t length = characterLength(text.substr(i));
+        if (length != 1) {
+            line += length == 0 ? "?" : text.substr(i, length);
+            i += length == 0 ? 0 : length - 1;
+            continue;
+        }
         if (c == '"' || c == '\\') {
             line += '\\';
             line += c;
@@ -38,8 +69,14 @@
     void operator()(bool flag) const { line += flag ? "true" : "false"; }
     void operator()(double number) const
     {
+        // Larger numbers don't fit the buffer in full.
+        constexpr double maxPlainNumber = 1e15;
+        if (!std::isfinite(number)) {
+            line += "null";
+            return;
+        }
         std::array<char, 32> text {};
-        std::snprintf(text.data(), text.size(), "%.3f", number);
+        std::snprintf(text.data(), text.size(), std::abs(number) < maxPlainNumber ? "%.3f" : "%.6g", number);
         line += text.data();
     }
 };
