Choose the same of several rows with one address at all entries

An odd row may repeat a runner's address. Of rows with the same start time, or none, an entry took the one that its hash map listed first, which depends on the order in which the rows arrived. Entries with the same list then had different digests, and each heartbeat of the other made an entry read the whole list from the store again (list_differs).

The later start still wins, and then the larger id.

--- a/serving/runner_listing.cpp
+++ b/serving/runner_listing.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <string>
+#include <tuple>
 #include <unordered_set>
 #include <utility>
 
@@ -20,6 +21,12 @@
 // A copy from which the store is restored is not older than this.
 constexpr duration removedMemory = std::chrono::minutes(10);
 
+// All entries choose the same of two rows, in whatever order these have arrived.
+bool isNewer(const listed_runner& a, const listed_runner& b)
+{
+    return std::tie(a.startedAtMs, a.id) > std::tie(b.startedAtMs, b.id);
+}
+
 std::uint64_t digestOf(const std::vector<listed_runner>& runners)
 {
     stable_hash digest;
@@ -137,7 +144,7 @@
     std::unordered_map<std::string, const listed_runner*> newest;
     for (const auto& [id, runner] : m_runners) {
         const listed_runner*& at = newest[runner.address];
-        if (!at || runner.startedAtMs > at->startedAtMs)
+        if (!at || isNewer(runner, *at))
             at = &runner;
     }
     std::vector<listed_runner> result;
