Keep fencing numbers rising and one holder when the table loses a lease's row

A table that comes back from an earlier copy shows a lease's row of an earlier holder, or none. A candidate took the next number after that row, which a later holder had used, so that the gate of a runner could not tell the orders of the two apart. An earlier holder that found its own row again, and any candidate that found none, took over at once, while the later holder still acted. A holder whose row was gone went on to read the validity of a row that it did not have.

A lease now remembers the highest number that it has seen in a row and continues from it, also when it releases. A row below it counts as lost: the daemon does not act under it and waits, as for any other holder, until the lease of a later holder must have ended. A daemon that never saw the lost row cannot know of it; this limit remains, because the table service names no history. The same holds for revisions that are given out again. Leases are not connected to the daemon yet.

--- a/coordination/leases/lease.cpp
+++ b/coordination/leases/lease.cpp
@@ -22,16 +22,22 @@
 
 bool lease::isOwnRow() const { return m_row && m_row->holder == m_self && m_row->lifetime == m_lifetime; }
 
+bool lease::hasLostRow() const
+{
+    const fencing_number found = m_row ? m_row->number : fencing_number();
+    return found < m_highestNumber;
+}
+
 bool lease::canTakeOver(time_point now) const
 {
-    if (m_revision == row_revision())
-        return true;
     // A row that cannot be parsed is never replaced, because the next fencing number is unknown.
-    if (!m_row)
+    if (m_revision != row_revision() && !m_row)
         return false;
-    if (isOwnRow() || m_row->holder == daemon_id())
+    const bool isFree = !m_row || isOwnRow() || m_row->holder == daemon_id();
+    // After a lost row, a later holder may still act.
+    if (isFree && !hasLostRow())
         return true;
-    return now - m_revisionSeenAt >= m_row->validity;
+    return now - m_revisionSeenAt >= (m_row ? m_row->validity : m_timing.validity);
 }
 
 table_call lease::readCall(time_point now)
@@ -76,6 +82,7 @@
         return std::nullopt;
     lease_row row = *m_row;
     row.holder = daemon_id();
+    row.number = m_highestNumber;
     return writeCall(row, now);
 }
 
@@ -92,8 +99,7 @@
         return writeCall(*m_row, now);
     if (!canTakeOver(now))
         return readCall(now);
-    const fencing_number last = m_row ? m_row->number : fencing_number();
-    return writeCall({ m_self, m_lifetime, fencing_number(last.value() + 1), 0, m_timing.validity }, now);
+    return writeCall({ m_self, m_lifetime, fencing_number(m_highestNumber.value() + 1), 0, m_timing.validity }, now);
 }
 
 void lease::applyRow(const lease_row& row, row_revision revision, time_point now)
@@ -102,9 +108,10 @@
     const bool isNew = revision != m_revision;
     m_revision = revision;
     m_row = row;
+    m_highestNumber = std::max(m_highestNumber, row.number);
     if (isNew)
         m_revisionSeenAt = now;
-    if (!isOwnRow()) {
+    if (!isOwnRow() || hasLostRow()) {
         m_heldUntil = time_point::min();
     } else if (sent != m_writesSentAt.end()) {
         m_fencingNumber = row.number;
@@ -118,8 +125,11 @@
 {
     m_isRowKnown = true;
     if (answer.rows.empty()) {
+        if (m_revision != row_revision())
+            m_revisionSeenAt = now;
         m_revision = row_revision();
         m_row.reset();
+        m_heldUntil = time_point::min();
         return;
     }
     const table_row& found = answer.rows.front();
--- a/coordination/leases/lease.h
+++ b/coordination/leases/lease.h
@@ -29,6 +29,9 @@
 //   write.
 // - Every daemon that becomes the holder raises the fencing number, even the last holder after its own lease has expired.
 //   The row is never deleted, so numbers never repeat.
+// - If the table loses acknowledged writes and returns to an earlier row, a daemon that has seen a higher number waits until
+//   the lease of any later holder has ended, and continues from the highest number that it has seen. A daemon that has not
+//   seen the lost row cannot know of it.
 // - On a holder that was paused past the end of its lease, canAct() is false. Whatever it had already sent is refused
 //   because of its fencing number.
 class lease {
@@ -63,6 +66,8 @@
     };
 
     bool isOwnRow() const;
+    // Whether a row with a higher number than the present one, or than none, has been seen.
+    bool hasLostRow() const;
     bool canTakeOver(time_point now) const;
     void expireCall(time_point now);
     void applyRow(const lease_row&, row_revision, time_point now);
@@ -89,6 +94,8 @@
     bool m_isReleasing = false;
     time_point m_heldUntil = time_point::min();
     fencing_number m_fencingNumber;
+    // Highest number in any row seen.
+    fencing_number m_highestNumber;
 
     std::uint64_t m_lastCallId = 0;
     std::uint64_t m_lastWrite = 0;
