Abort a response instead of writing a second one into it

http_exchange leaves it to its handler to respond once. A second respond() or startStream() within a stream wrote its whole head and body between the chunks.

A second response now aborts one that has not ended, so that the caller sees that it is incomplete. After the end of a response nothing was written before either, so that the next request on the connection gets only its own: secondResponseIsNotWritten is a guard for this.

On the old code responseWithinAStreamAbortsIt receives "HTTP/1.1 502 Bad Gateway" and "{}" after the first event, and the connection stays open.

--- a/tests/error/http_server_test.cpp
+++ b/tests/error/http_server_test.cpp
@@ -262,6 +262,49 @@
     EXPECT_FALSE(has(answer, "\r\n0\r\n")) << answer;
 }
 
+// Guards against the head of an error within a stream that has begun, and against a stream that looks complete after it.
+TEST_F(http_server_test, responseWithinAStreamAbortsIt)
+{
+    holdAnswers = true;
+    auto connection = connect();
+    connection.send(post("one"));
+    ASSERT_TRUE(waitForRequests(1));
+    net.run([this] {
+        held.front()->startStream(200, "text/event-stream");
+        held.front()->write("data: 1\n\n");
+        held.front()->respond(502, "application/json", "{}");
+        held.front()->startStream(200, "text/event-stream");
+        held.front()->finish();
+        return 0;
+    });
+    const std::string answer = connection.receiveAll();
+    EXPECT_TRUE(has(answer, "data: 1")) << answer;
+    EXPECT_FALSE(has(answer, "502")) << answer;
+    EXPECT_FALSE(has(answer, "\r\n0\r\n")) << answer;
+}
+
+// Guards against a second response that is taken for that of the next request on the connection.
+TEST_F(http_server_test, secondResponseIsNotWritten)
+{
+    holdAnswers = true;
+    auto connection = connect();
+    connection.send(post("one") + post("two"));
+    ASSERT_TRUE(waitForRequests(1));
+    net.run([this] {
+        held.front()->respond(200, "text/plain", "first");
+        held.front()->respond(200, "text/plain", "again");
+        return 0;
+    });
+    EXPECT_TRUE(has(readAnswer(connection), "first"));
+    ASSERT_TRUE(waitForRequests(2));
+    net.run([this] {
+        held.front()->respond(200, "text/plain", "late");
+        held.back()->respond(200, "text/plain", "second");
+        return 0;
+    });
+    EXPECT_TRUE(has(readAnswer(connection), "second"));
+}
+
 // Guards against unbounded buffering for a slow reader: a handler that waits for onWritten() has only as much output
 // pending as the operating system accepts, and continues when the client reads.
 TEST_F(http_server_test, slowReaderHoldsBackTheHandler)
--- a/transport/http_exchange.cpp
+++ b/transport/http_exchange.cpp
@@ -9,11 +9,19 @@
 
 void http_exchange::respond(int status, const std::string& contentType, std::string body, headers extra)
 {
+    if (std::exchange(m_hasBegun, true)) {
+        abort();
+        return;
+    }
     enqueue({ output_kind::Complete, status, contentType, std::move(extra), std::move(body) });
 }
 
 void http_exchange::startStream(int status, const std::string& contentType, headers extra)
 {
+    if (std::exchange(m_hasBegun, true)) {
+        abort();
+        return;
+    }
     enqueue({ output_kind::Head, status, contentType, std::move(extra), {} });
 }
 
--- a/transport/http_exchange.h
+++ b/transport/http_exchange.h
@@ -12,7 +12,8 @@
 namespace sardinelb {
 
 // An HTTP request and its response. The handler keeps a shared pointer and responds once, immediately or later, with
-// either respond() or startStream(), write() and finish(). Used on the network thread.
+// either respond() or startStream(), write() and finish(). A second response is never written into the first: it aborts a
+// response that has not ended. Used on the network thread.
 class http_exchange {
 public:
     using headers = std::vector<std::pair<std::string, std::string>>;
@@ -60,6 +61,7 @@
 
     http_request m_request;
     std::deque<output> m_outputs;
+    bool m_hasBegun = false;
     // Set by the session; signals that there is output to write.
     std::function<void()> m_wakeSession;
 };
