Guard the claim of a running request against a table that loses it

A table that returns to an earlier copy loses claims of idempotency keys. The entry that holds one finds this out when it records the outcome, and writes the row again. A claim that was lost after its end cannot be noticed by anyone, and its key can be used again.

--- a/tests/correctness/idempotency_claims_test.cpp
+++ b/tests/correctness/idempotency_claims_test.cpp
@@ -52,6 +52,11 @@
             static_cast<void>(table.transact(late));
     }
 
+    memory_table copyOfTable() const { return m_table; }
+
+    // Lets the table come back from an earlier copy.
+    void restoreTable(const memory_table& copy) { m_table = copy; }
+
     std::optional<claim_verdict> verdictOf(const std::string& request) const
     {
         const auto found = m_results.find(request);
@@ -219,6 +224,23 @@
     EXPECT_EQ(fleet.verdictOf("r5"), claim_verdict::OtherRequest);
 }
 
+// Guards against a key that can be used again although its request ran while the table lost the claim.
+TEST(IdempotencyClaims, OfARequestInProgressThatTheTableHasLostAreRecordedAtItsEnd)
+{
+    claim_fleet fleet(2);
+    const memory_table copy = fleet.copyOfTable();
+    fleet.claim(0, "r1", "key");
+    fleet.run(std::chrono::seconds(1), noFault);
+    ASSERT_EQ(fleet.verdictOf("r1"), claim_verdict::Claimed);
+    fleet.restoreTable(copy);
+    fleet.end(0, "r1", execution_outcome::Completed);
+    fleet.run(std::chrono::seconds(1), noFault);
+    fleet.claim(1, "r2", "key");
+    fleet.run(std::chrono::seconds(1), noFault);
+    EXPECT_EQ(fleet.verdictOf("r2"), claim_verdict::Ended);
+    EXPECT_EQ(fleet.pendingCount(), 0U);
+}
+
 // Checks random histories against a sequential specification: a key is claimed again only after its holder has ended as
 // not run, every claim has exactly one result, and nothing stays pending once the table works.
 TEST(IdempotencyClaims, InRandomHistoriesAreGivenOneAtATime)
