Apply no changes of a table whose history differs from the daemon's

After a restore from an earlier copy, an operator can commit changes under versions that the daemons have applied with other content, and then one with the next version. A poller read only the rows after its own version, so it applied that change on top of its own history: its configuration was that of neither history, and its peers fetched it from there.

A poller now reads the row of its own version first, and applies newer rows only if that row holds the change that it has applied. If the row is gone, it is written again; if it holds another change, the conflict is logged, once until the next sound read. An outage of the table is logged in the same way. A change that an operator pushes directly is not checked like this, because a push must work while the table is down: see the limits in docs/design.md.

--- a/daemon/configuration_feed.cpp
+++ b/daemon/configuration_feed.cpp
@@ -141,15 +141,17 @@
 {
     const configuration_change* newest = m_spread.newestChange();
     m_hooks.runOnStoreThread([this, log = m_log, after, known = newest ? std::optional(*newest) : std::nullopt] {
-        const auto changes = log->readAfter(after);
-        const bool isTableBehind = changes && changes.value().empty() && known;
-        const state_result<bool> lost = isTableBehind ? log->hasLost(*known) : state_result<bool>(false);
-        m_hooks.runOnDecisionThread([this, changes, lost](time_point now) {
+        const state_result<bool> lost = known ? log->hasLost(*known) : state_result<bool>(false);
+        const bool isOwnHistory = lost && !lost.value();
+        auto changes = isOwnHistory ? log->readAfter(after) : std::vector<configuration_change>();
+        m_hooks.runOnDecisionThread([this, changes = std::move(changes), lost](time_point now) {
             perform(m_spread.onTableReadResult(changes, now));
             if (!lost)
                 logTableFault(lost.error());
             else if (lost.value())
                 rewriteLostChanges();
+            else
+                m_lastTableFault.clear();
         });
     });
 }
--- a/tests/error/configuration_feed_test.cpp
+++ b/tests/error/configuration_feed_test.cpp
@@ -129,6 +129,21 @@
     EXPECT_EQ(active->config.pools.count(pool_id("d")), 0U);
 }
 
+// Guards against a configuration of two histories: a change that follows one which this daemon does not have.
+TEST_F(configuration_feed_test, changesAfterAnotherHistory_areNotApplied)
+{
+    commit(draft("a"));
+    const memory_table copy = table;
+    commit(draft("b"));
+    poll();
+    table = copy;
+    commit(draft("c", "lee"));
+    commit(draft("d", "lee"));
+    poll();
+    EXPECT_EQ(active->config.version, config_version(2));
+    EXPECT_EQ(active->config.pools.count(pool_id("d")), 0U);
+}
+
 // Guards against a gap in the table: changes that this daemon does not know cannot be written again.
 TEST_F(configuration_feed_test, tableLostMoreThanIsKnown_isLeftAsItIs)
 {
