Guard an entry against refusals of earlier attempts

A refusal, a confirmed cancel and a finish as not run are repeated for the first attempt of a call, and sent for the second one by the agent of the first: the entry neither tells the caller that the call was not run nor starts it again. The test passed before: an attempt has a number, and only the agent that has the present attempt may speak for it.

--- a/tests/correctness/serving_directed_test.cpp
+++ b/tests/correctness/serving_directed_test.cpp
@@ -108,6 +108,57 @@
     EXPECT_EQ(told, std::vector { execution_outcome::Unknown });
 }
 
+// Guards against believing a refusal of an earlier attempt, or of another agent, for the present one: a call that runs would
+// be reported as not run, or run twice.
+TEST(ServingDirected, RefusalsOfEarlierAttemptsAndOtherAgentsAreIgnored)
+{
+    entry_settings settings;
+    settings.routing.self = daemon_id("entry");
+    entry_core core(settings, [](const team_id&) { return std::nullopt; });
+    core.setRunners({ { runner_id("a"), pool_id("pool"), {}, true, {} }, { runner_id("b"), pool_id("pool"), {}, true, {} } });
+    core.onPeerConnected(runner_id("a"), incarnation(1), start);
+    core.onPeerConnected(runner_id("b"), incarnation(1), start);
+    caller_request request;
+    request.id = request_id("call");
+    request.pool = pool_id("pool");
+    request.kind = pool_kind::Service;
+    request.limits.answerWithin = 30s;
+    request.limits.requestBurst = 10;
+    request.limits.inFlight = 10;
+    core.onRequest(request, start);
+    std::vector<send_to_peer_action> submits;
+    const auto collect = [&] {
+        for (const entry_action& action : core.takeActions()) {
+            EXPECT_FALSE(std::holds_alternative<answer_error_action>(action));
+            const auto* sent = std::get_if<send_to_peer_action>(&action);
+            if (sent && std::holds_alternative<submit_message>(sent->message))
+                submits.push_back(*sent);
+        }
+    };
+    collect();
+    ASSERT_EQ(submits.size(), 1U);
+    const runner_id first(submits[0].peer.value());
+    const attempt_id earlier { request.id, 1 };
+    const attempt_id present { request.id, 2 };
+    core.onMessage(first, admission_message { earlier, refusal_reason::Draining, {} }, start);
+    core.tick(start + 1s);
+    collect();
+    ASSERT_EQ(submits.size(), 2U);
+    ASSERT_NE(submits[1].peer, submits[0].peer);
+    finish_message notRun;
+    notRun.attempt = earlier;
+    notRun.outcome = execution_outcome::NotRun;
+    core.onMessage(first, admission_message { earlier, refusal_reason::Draining, {} }, start + 1s);
+    core.onMessage(first, cancelled_message { earlier, true }, start + 1s);
+    core.onMessage(first, notRun, start + 1s);
+    core.onMessage(first, admission_message { present, refusal_reason::Draining, {} }, start + 1s);
+    core.onMessage(first, cancelled_message { present, true }, start + 1s);
+    core.tick(start + 2s);
+    collect();
+    EXPECT_EQ(submits.size(), 2U);
+    EXPECT_EQ(core.inFlight(), 1U);
+}
+
 // Guards against a restarted agent that accepts a submit sent to its earlier incarnation. That incarnation may have
 // confirmed a cancel of the attempt, and its tombstone is lost.
 TEST(ServingDirected, AgentRefusesASubmitForItsEarlierIncarnation)
