--- a/tests/fleet/odd_configuration_test.cpp
+++ b/tests/fleet/odd_configuration_test.cpp
@@ -66,6 +66,13 @@
     EXPECT_EQ(call(request("GET", "/seek/x")).status, 200);
 }
 
+// Guards against a new field that stops an entry from following the operator.
+TEST_F(odd_configuration, unknownFieldNestedDeeply_applied_ignored)
+{
+    const std::string deep = R"("later":)" + std::string(200, '[') + std::string(200, ']') + ",";
+    EXPECT_TRUE(isReadable(replaced(defaultConfiguration(), R"("version")", deep + R"("version")"))) << m_problem;
+}
+
 // Guards against a process that ends while it reads a document.
 TEST_F(odd_configuration, nestedThousandsDeep_read_unreadableOnly)
 {
