--- a/tests/fleet/odd_runner_row_test.cpp
+++ b/tests/fleet/odd_runner_row_test.cpp
@@ -1,8 +1,8 @@
 #include "platform/runner_row.h"
 #include "tests/fleet/entry_fixture.h"
 
+#include <algorithm>
 #include <string>
-#include <vector>
 
 namespace sardinelb::test {
 
@@ -58,4 +58,25 @@
     EXPECT_EQ(receivedRequests(), 40U);
 }
 
+// Guards against header fields that an id with line ends adds to the requests of callers.
+TEST_F(odd_runner_row, idNoFieldValue_listed_noRequestCarriesIt)
+{
+    m_rows.erase("r1");
+    m_rows["i1\r\nTenant: other"] = rowOf(m_runners.front()->address);
+    startEntry();
+    call(request("POST", "/book/x", "Authorization: Bearer k1\r\n", "b"));
+    for (const http_request_message& received : m_runners.front()->received)
+        EXPECT_EQ(received.fields.end(), std::find_if(received.fields.begin(), received.fields.end(), [](const http_field& field) { return field.value == "other"; }));
+    EXPECT_EQ(receivedRequests(), 0U);
+}
+
+TEST_F(odd_runner_row, idNoFieldValue_read_namesNoRunner)
+{
+    EXPECT_TRUE(platform::readRunner("i-7f3a91c2", rowOf("10.0.0.1:80")));
+    EXPECT_TRUE(platform::readRunner("a&b%\"c", rowOf("10.0.0.1:80")));
+    EXPECT_TRUE(platform::readRunner(std::string(200, 'k'), rowOf("10.0.0.1:80")));
+    for (const std::string& id : { std::string(), std::string(1, '\0'), std::string("a\nb"), std::string("a\rb"), std::string(" a"), std::string("a "), std::string("a\tb"), std::string("a\x7f"), std::string(5000, 'k') })
+        EXPECT_FALSE(platform::readRunner(id, rowOf("10.0.0.1:80"))) << id.substr(0, 20);
+}
+
 }
