--- a/tests/fleet/odd_runner_row_test.cpp
+++ b/tests/fleet/odd_runner_row_test.cpp
@@ -79,4 +79,48 @@
         EXPECT_FALSE(platform::readRunner(id, rowOf("10.0.0.1:80"))) << id.substr(0, 20);
 }
 
+// Guards against conversions without a defined result, and against a start time that hides a runner's next start.
+TEST_F(odd_runner_row, numberOutOfRange_read_namesNoRunner)
+{
+    EXPECT_EQ(platform::readRunner("i", rowOf("10.0.0.1:80", "6.0"))->slots, 6U);
+    for (const char* slots : { "-1", "2.5", "1e308", "1e400", "4294967296", "18446744073709551616", "1e99999999999", "NaN", "\"6\"", "[6]", "{\"a\":6}", "null" })
+        EXPECT_FALSE(platform::readRunner("i", rowOf("10.0.0.1:80", slots))) << slots;
+    EXPECT_EQ(platform::readRunner("i", rowOf("10.0.0.1:80", "6", R"(,"born":1764918000000)"))->startedAtMs, 1764918000000U);
+    for (const char* born : { "-1", "1764918000000.5", "1e308", "1e400", "18446744073709551615", "\"1764918000000\"", "[]" })
+        EXPECT_FALSE(platform::readRunner("i", rowOf("10.0.0.1:80", "6", std::string(",\"born\":") + born))) << born;
+}
+
+// Guards against log lines and digests of megabytes.
+TEST_F(odd_runner_row, nameOfMegabytes_read_namesNoRunner)
+{
+    const std::string longName(3000000, 'z');
+    EXPECT_FALSE(platform::readRunner("i", R"({"service":"plain","address":"10.0.0.1:80","zone":")" + longName + R"(","state":"ready","slots":6})"));
+    EXPECT_FALSE(platform::readRunner("i", R"({"service":")" + longName + R"(","address":"10.0.0.1:80","state":"ready","slots":6})"));
+    EXPECT_FALSE(platform::readRunner("i", R"({"service":"plain","address":"10.0.0.1:80","zone":7,"state":"ready","slots":6})"));
+}
+
+// Guards against an entry that ends, or stops following the list, at a row that cannot be read.
+TEST_F(odd_runner_row, rowsUnreadable_listedAndChanged_othersFollowed)
+{
+    m_rows["deep1"] = std::string(300000, '[');
+    m_rows["deep2"] = rowOf("10.0.0.1:80", "6", R"(,"later":)" + std::string(5000, '[') + std::string(5000, ']'));
+    m_rows["text"] = "\xff\xfe\x01";
+    m_rows["empty"] = "";
+    m_rows["list"] = "[]";
+    m_rows["bad-utf8"] = rowOf("10.0.0.1:80", "6", ",\"later\":\"\xc3\x28\"");
+    m_rows["long"] = rowOf("10.0.0.1:0", "6", R"(,"later":")" + std::string(200000, 'x') + "\"");
+    for (int i = 0; i < 600; ++i)
+        m_rows["many" + std::to_string(i)] = rowOf("10.0.0.1:" + std::to_string(70000 + i));
+    startEntry();
+    EXPECT_EQ(failuresIn(10), 0);
+    stand_in_runner& later = addRunner("r2", respondsWith(200, "ok"));
+    ++m_revision;
+    runFor(milliseconds(1500));
+    m_rows["deep3"] = std::string(300000, '{');
+    ++m_revision;
+    runFor(milliseconds(800));
+    EXPECT_EQ(failuresIn(20), 0);
+    EXPECT_GT(later.received.size(), 0U);
+}
+
 }
