Never call a request not sent that has been sent

What callers would see: a request that is refused as not run, or that runs at a second runner, although the first one has got it (REFUSED, TWICE).

Cause: when the event loop is delayed for longer than the time for connecting (a frozen or slow machine), the completed connect and the expired timer are both queued. The connect's handler sends the request; the timer's handler then still ended the exchange as not connected, which says that nothing was sent.

--- a/relay/runner_exchange.cpp
+++ b/relay/runner_exchange.cpp
@@ -115,7 +115,8 @@
     }
     timer.expires_after(connectTimeout);
     timer.async_wait([self](const error_code& error) {
-        if (!error)
+        // If the loop was delayed, both handlers are queued, and the request may have been sent already.
+        if (!error && !self->m_implementation->isConnected)
             self->m_implementation->end(result::NotConnected);
     });
     socket.async_connect(*endpoint, [self](const error_code& error) { self->m_implementation->onConnected(self, error); });
--- a/tests/fleet/runner_exchange_test.cpp
+++ b/tests/fleet/runner_exchange_test.cpp
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace sardinelb::test {
@@ -163,6 +164,22 @@
     EXPECT_EQ(received.result, runner_exchange::result::NotConnected);
 }
 
+// Guards against calling a request not sent that has been sent, when the loop is delayed for longer than the time for connecting.
+TEST_F(exchange_with_runner, loopDelayed_connectedInTime_responseDelivered)
+{
+    const scripted_server runner([](raw_connection& connection) {
+        connection.receiveUntil("\r\n\r\n");
+        connection.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    });
+    outcome received;
+    const auto call = std::make_shared<runner_exchange>(m_context.get_executor(), hooksFor(received));
+    call->start("127.0.0.1:" + std::to_string(runner.port()), "GET / HTTP/1.1\r\n\r\n");
+    std::this_thread::sleep_for(milliseconds(400));
+    runUntilEnded(received);
+    EXPECT_EQ(received.result, runner_exchange::result::Complete);
+    EXPECT_EQ(received.body, "ok");
+}
+
 // Guards against taking the end of a connection for the end that a length or chunks state.
 TEST_F(exchange_with_runner, response_unframedAndConnectionCloses_endedByClose)
 {
