Send the body of a rejection that follows a HEAD request

The rejection of a malformed request after a HEAD on one connection stated a length and had no body, since the connection still took it for the response to the HEAD.

--- a/relay/http_server_connection.cpp
+++ b/relay/http_server_connection.cpp
@@ -120,6 +120,7 @@
         return;
     }
     currentPhase = phase::Idle;
+    isHeadRequest = false;
     parser.emplace();
     parser->eager(true);
     parser->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
--- a/tests/fleet/server_connection_test.cpp
+++ b/tests/fleet/server_connection_test.cpp
@@ -169,6 +169,18 @@
     });
 }
 
+// Guards against a rejection that states a length and has no body because the request before it was a HEAD.
+TEST_F(server_connection, malformedRequest_afterHeadRequest_rejectedWithBody)
+{
+    listen([](const std::shared_ptr<http_server_connection>& caller, const http_request_message&) { caller->respond(200, "", "text"); });
+    runCaller([](raw_connection& connection) {
+        connection.send(request("/", "HEAD"));
+        connection.receiveUntil("\r\n\r\n");
+        connection.send("no request\r\n\r\n");
+        EXPECT_TRUE(connection.receiveAll().ends_with("malformed HTTP request"));
+    });
+}
+
 // Guards against a length in a response that has no body by its status (RFC 9110, 8.6).
 TEST_F(server_connection, respond_statusWithoutBody_noLengthAndNoBody)
 {
