Take the response to a HEAD on a streaming route for no stream

It has no events, so it counted as a stream that had ended early: the request was sent to several runners, which counted as failing, and then broken off. Found by the review. headOfStream_runnerAnswers_answeredOnce failed before and passes now.

--- a/fleet/request_relay.cpp
+++ b/fleet/request_relay.cpp
@@ -300,7 +300,8 @@
 
 expected_response request_relay::expectedResponse() const
 {
-    return { m_request.attemptId, isStream(m_route->retrySemantics), m_isResponseStarted };
+    const bool hasBody = m_request.method != "HEAD";
+    return { m_request.attemptId, hasBody && isStream(m_route->retrySemantics), m_isResponseStarted };
 }
 
 void request_relay::onHead(const http_response_head& response)
--- a/tests/fleet/entry_request_test.cpp
+++ b/tests/fleet/entry_request_test.cpp
@@ -166,6 +166,18 @@
     EXPECT_EQ(result.exchangeResult, runner_exchange::result::Complete);
 }
 
+// Guards against taking the response to a HEAD, which has no events, for a stream that has ended early.
+TEST_F(entry_request, headOfStream_runnerAnswers_answeredOnce)
+{
+    addRunner("r1", respondsWith(200, "", "Attempt-Id: a1\r\nServer-Seal: s.1\r\nContent-Type: text/event-stream\r\n"));
+    addRunner("r2", respondsWith(200, "", "Attempt-Id: a1\r\nServer-Seal: s.1\r\nContent-Type: text/event-stream\r\n"));
+    startStore();
+    startEntry();
+    const std::string received = receiveAll(request("HEAD", "/write/x", "Authorization: Bearer k1\r\nConnection: close\r\n"));
+    EXPECT_TRUE(received.starts_with("HTTP/1.1 200 OK\r\n")) << received;
+    EXPECT_EQ(receivedRequests(), 1U);
+}
+
 // Guards against ending a stream as complete although no runner finished it.
 TEST_F(entry_request, stream_allRunnersAbort_responseIsNotComplete)
 {
