Apply a caller's last event id to resumable streams only

A runner of another route may ignore the field and begin at its first event, which then counted as repeated, so that a proper stream was broken off. Found by the review, by reading; no test of its own.

--- a/fleet/request_relay.cpp
+++ b/fleet/request_relay.cpp
@@ -130,7 +130,8 @@
         if (!error)
             self->onDeadline();
     });
-    m_events.resumeAfter(m_request.resumeAfterEvent);
+    if (m_route->retrySemantics == retry_semantics::ResumableStream)
+        m_events.resumeAfter(m_request.resumeAfterEvent);
     m_caller->setDisconnectHandler([self = shared_from_this()] { self->onCallerDisconnect(); });
     if (!m_request.promptParts.empty())
         m_context.promptGuard().addRequest(this, weak_from_this());
