Count a response as signed only if its caller gets exactly one signature

With two signatures the last one counted and both were forwarded. Only fields that are forwarded count now.

--- a/serving/runner_response_head.h
+++ b/serving/runner_response_head.h
@@ -10,7 +10,7 @@
     int status = 0;
     // Attempt id that the runner echoed.
     std::string attemptId;
-    // Whether the response carries the runner's signature.
+    // Whether the response carries exactly one signature of the runner.
     bool isSigned = false;
     // Whether the runner states that it did not execute the request.
     bool isNotExecuted = false;
--- a/tests/fleet/platform_translation_test.cpp
+++ b/tests/fleet/platform_translation_test.cpp
@@ -106,6 +106,16 @@
     EXPECT_NE(head.forwardedHeaders.find("X-A: b\r\n"), std::string::npos);
 }
 
+// Guards against a success that counts as signed although its caller gets no signature, or two.
+TEST_F(request_fields, runnerResponse_signatureNotForwardedOrTwice_unsigned)
+{
+    const auto isSigned = [](const std::vector<http_field>& fields) { return platform::readResponseHead({ 200, fields }).isSigned; };
+    EXPECT_TRUE(isSigned({ { "Connection", "close" }, { "Server-Seal", "s" } }));
+    EXPECT_FALSE(isSigned({ { "Connection", "close, server-seal" }, { "Server-Seal", "s" } }));
+    EXPECT_FALSE(isSigned({ { "Server-Seal", "s" }, { "Server-Seal", "t" } }));
+    EXPECT_EQ(platform::readResponseHead({ 200, { { "Connection", "Attempt-Id" }, { "Attempt-Id", "a1" } } }).attemptId, "");
+}
+
 // Guards against a malformed limit that stops all requests to a runner, or lifts its limit to infinity.
 TEST_F(request_fields, runnerLimit_read_numbersOnly)
 {
