Test that responses from before a known restore are dropped

The postmortem said that tests show it; none did. Passes on; not run on the code before, which has no outcome for it.

--- a/tests/fleet/store_restore_test.cpp
+++ b/tests/fleet/store_restore_test.cpp
@@ -245,4 +245,21 @@
     EXPECT_EQ(m_restorableStore.writes().front(), m_restorableStore.writes().back());
 }
 
+// Guards against rows from before a restore that arrive late and undo those read after it.
+TEST_F(store_restore, responseFromBeforeTheRestore_arrivesAfterItIsKnown_outdated)
+{
+    m_restorableStore.listen(m_settings.storeAddress);
+    platform::store_client client(m_context.get_executor(), m_settings.storeAddress);
+    std::vector<platform::store_response::outcome> outcomes;
+    const auto record = [&outcomes](const platform::store_response& response) { outcomes.push_back(response.result); };
+    client.observeEpoch(store_epoch(1));
+    client.read("op", "", record);
+    runFor(std::chrono::milliseconds(100));
+    m_restorableStore.restore();
+    client.read("op", "", record);
+    runFor(std::chrono::milliseconds(100));
+    const std::vector expected { platform::store_response::outcome::Outdated, platform::store_response::outcome::Done };
+    EXPECT_EQ(outcomes, expected);
+}
+
 }
