Read a deeply nested line of a runner as malformed

Copies of a JSON value call themselves for each level, so a line of nested brackets could end the agent that read it.

--- a/tests/error/runner_client_test.cpp
+++ b/tests/error/runner_client_test.cpp
@@ -429,6 +429,14 @@
     }
 }
 
+// Guards against an agent that a line of nested brackets ends, since copying a value calls itself for each level.
+TEST_F(runner_client_test, deeplyNestedLineIsBroken)
+{
+    constexpr std::size_t depth = 30000;
+    const std::string line = R"({"done":)" + std::string(depth, '[') + std::string(depth, ']') + "}\n";
+    EXPECT_EQ(callRespondingWith(streamHead + chunk(line) + "0\r\n\r\n"), "failed broken");
+}
+
 // Guards against an exception on a usage field of the wrong type: the call would never end, and its slot would stay
 // occupied.
 TEST_F(runner_client_test, usageOfAnotherTypeCountsAsNone)
--- a/transport/runner_client.cpp
+++ b/transport/runner_client.cpp
@@ -1,5 +1,6 @@
 #include "transport/runner_client.h"
 
+#include "state/bounded_json.h"
 #include "state/pool.h"
 #include "transport/net_thread.h"
 
@@ -127,7 +128,7 @@
 
 std::optional<model_line> parseLine(const std::string& text)
 {
-    const json line = json::parse(text, nullptr, false);
+    const json line = parseBoundedJson(text);
     if (!line.is_object())
         return std::nullopt;
     model_line parsed;
