--- a/fleet/agent_process.cpp
+++ b/fleet/agent_process.cpp
@@ -369,7 +369,7 @@
 {
     bool& wasReadable = readableAnswers.try_emplace(answer, true).first->second;
     if (isReadable != wasReadable)
-        log.write(isReadable ? "runner_answer_regained" : "runner_answer_unreadable", { { "answer", answer } });
+        log.write(isReadable ? "runner_answer_regained" : "runner_answer_lost", { { "answer", answer } });
     wasReadable = isReadable;
 }
 
