--- a/tests/fleet/odd_store_row_test.cpp
+++ b/tests/fleet/odd_store_row_test.cpp
@@ -83,6 +83,19 @@
     EXPECT_EQ(response.rows[0].key, "a");
 }
 
+// Guards against a list that cannot be followed because of one key.
+TEST_F(odd_store_row, key_noValidText_otherRowsRead)
+{
+    const auto response = read(R"({"rows":[{"key":"a\\","value":"","ver":1},{"key":"\ud800","value":"","ver":1},{"key":"\udc00\ud800x","value":"","ver":1},)"
+                               "{\"key\":\"\xff\",\"value\":\"\",\"ver\":1},"
+                               R"({"key":"\ud83d\ude00","value":"","ver":1}],"ver":5})");
+    EXPECT_EQ(response.result, platform::store_response::outcome::Done);
+    ASSERT_EQ(response.rows.size(), 5U);
+    EXPECT_EQ(response.rows[0].key, "a\\");
+    EXPECT_EQ(response.rows[1].key, "\xef\xbf\xbd");
+    EXPECT_EQ(response.rows[4].key, "\xf0\x9f\x98\x80");
+}
+
 // Guards against conversions of numbers that have no defined result, and against the loss of bits.
 TEST_F(odd_store_row, revision_outOfRange_zero)
 {
