--- a/tests/support/raw_connection.h
+++ b/tests/support/raw_connection.h
@@ -2,12 +2,14 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <unistd.h>
 
 #include <array>
 #include <cerrno>
+#include <chrono>
 #include <cstdint>
 #include <stdexcept>
 #include <string>
@@ -96,6 +98,16 @@
         return std::exchange(m_received, {});
     }
 
+    // Whether bytes have arrived that were not returned yet, or arrive within `time`. The end of the connection counts as none.
+    bool hasBytes(std::chrono::milliseconds time)
+    {
+        if (!m_received.empty())
+            return true;
+        pollfd watched { m_descriptor, POLLIN, 0 };
+        char byte = 0;
+        return poll(&watched, 1, static_cast<int>(time.count())) > 0 && recv(m_descriptor, &byte, 1, MSG_PEEK) > 0;
+    }
+
     // Closes the connection so that the peer sees a reset.
     void reset()
     {
