Let requests outlive the entry that counts them

When a process ends while requests run, the event loop destroys their handlers after the entry, and each request then counted itself out in the entry's memory, which was gone. It could end the exit of an entry with an abort.

The counts are now shared by the entry and its requests. Other handlers of a destroyed entry must still not run; the processes destroy it only after the loop has ended.

--- a/fleet/entry_context.cpp
+++ b/fleet/entry_context.cpp
@@ -2,6 +2,7 @@
 
 #include "fleet/event_log.h"
 #include "fleet/request_relay.h"
+#include "fleet/request_totals.h"
 #include "fleet/steady_time.h"
 #include "serving/backlog.h"
 #include "serving/retry_delay.h"
@@ -28,6 +29,7 @@
     , m_random(std::random_device {}())
     , m_runners([this] { return std::uniform_real_distribution<double>()(m_random); })
     , m_promptGuard(m_executor, log, metrics, [this] { return std::uniform_real_distribution<double>()(m_random); })
+    , m_totals(std::make_shared<request_totals>())
     , m_recentEntries(settings.retries.window + entryCountInterval)
     , m_startedAt(steadyNow())
     , m_dispatchTimer(m_executor)
--- a/fleet/entry_context.h
+++ b/fleet/entry_context.h
@@ -25,6 +25,7 @@
 class process_metrics;
 class request_relay;
 class route_index;
+struct request_totals;
 struct traffic_route;
 
 // State shared by the requests of one entry: its current configuration and runners, the queues of waiting requests, and the
@@ -85,10 +86,7 @@
     // Limits that runners named in answers to another entry.
     void onLimitUpdates(const std::vector<runner_limit_update>&);
 
-    std::size_t activeRequests = 0;
-
-    // Bytes of responses that are held until their end, or until that of an event.
-    std::size_t bufferedResponseBytes = 0;
+    const std::shared_ptr<request_totals>& totals() const { return m_totals; }
 
 private:
     void scheduleDispatch();
@@ -106,6 +104,7 @@
     prompt_guard m_promptGuard;
     std::map<pool_id, admission_queue> m_queues;
     std::unordered_map<std::uint64_t, std::weak_ptr<request_relay>> m_waiting;
+    std::shared_ptr<request_totals> m_totals;
     std::unordered_map<pool_id, retry_budget_share> m_retryBudgets;
     std::unordered_map<std::string, duration> m_maxCallerTimeouts;
     std::uint64_t m_lastTicket = 0;
--- a/fleet/entry_process.cpp
+++ b/fleet/entry_process.cpp
@@ -8,6 +8,7 @@
 #include "fleet/process_metrics.h"
 #include "fleet/quarantine_table.h"
 #include "fleet/request_relay.h"
+#include "fleet/request_totals.h"
 #include "fleet/steady_time.h"
 #include "platform/configuration_row.h"
 #include "platform/names.h"
@@ -476,7 +477,7 @@
     isStopping = true;
     stopStartedAt = steadyNow();
     peers.announceStop();
-    log.write("stopping", { { "requests", static_cast<std::int64_t>(entry.activeRequests) } });
+    log.write("stopping", { { "requests", static_cast<std::int64_t>(entry.totals()->activeRequests) } });
     advanceStop();
 }
 
@@ -487,9 +488,9 @@
         callerServer->stopAccepting();
         callerServer->closeConnections();
     }
-    const bool isIdle = elapsed >= drainDelay && entry.activeRequests == 0 && callerServer->connectionCount() == 0;
+    const bool isIdle = elapsed >= drainDelay && entry.totals()->activeRequests == 0 && callerServer->connectionCount() == 0;
     if (isIdle || elapsed >= options.stopGrace - stopMargin) {
-        log.write("stopped", { { "requests", static_cast<std::int64_t>(entry.activeRequests) } });
+        log.write("stopped", { { "requests", static_cast<std::int64_t>(entry.totals()->activeRequests) } });
         context.stop();
         return;
     }
--- a/fleet/request_relay.cpp
+++ b/fleet/request_relay.cpp
@@ -3,6 +3,7 @@
 #include "fleet/entry_context.h"
 #include "fleet/event_log.h"
 #include "fleet/process_metrics.h"
+#include "fleet/request_totals.h"
 #include "fleet/steady_time.h"
 #include "platform/request_translation.h"
 #include "relay/http_response_head.h"
@@ -71,18 +72,19 @@
 
 request_relay::request_relay(entry_context& context, std::shared_ptr<http_server_connection> caller, proxied_request request)
     : m_context(context)
+    , m_totals(context.totals())
     , m_caller(std::move(caller))
     , m_request(std::move(request))
     , m_deadlineTimer(context.executor())
     , m_silenceTimer(context.executor())
 {
-    ++m_context.activeRequests;
+    ++m_totals->activeRequests;
 }
 
 request_relay::~request_relay()
 {
-    m_context.bufferedResponseBytes -= m_bufferedBytes;
-    --m_context.activeRequests;
+    m_totals->bufferedResponseBytes -= m_bufferedBytes;
+    --m_totals->activeRequests;
 }
 
 void request_relay::start()
@@ -355,7 +357,7 @@
 bool request_relay::updateBufferedBytes()
 {
     const std::size_t bytes = m_body.size() + m_events.pendingBytes();
-    std::size_t& total = m_context.bufferedResponseBytes;
+    std::size_t& total = m_totals->bufferedResponseBytes;
     const bool isGrowing = bytes > m_bufferedBytes;
     total += bytes - m_bufferedBytes;
     m_bufferedBytes = bytes;
--- a/fleet/request_relay.h
+++ b/fleet/request_relay.h
@@ -25,6 +25,7 @@
 class route_index;
 struct expected_response;
 struct http_response_head;
+struct request_totals;
 struct traffic_route;
 
 // Relays one caller's request: queues it until a runner has a free slot, sends it, retries it at another runner after a failure
@@ -90,6 +91,7 @@
     runner_exchange::hooks exchangeHooks();
 
     entry_context& m_context;
+    std::shared_ptr<request_totals> m_totals;
     std::shared_ptr<http_server_connection> m_caller;
     proxied_request m_request;
     std::shared_ptr<const route_index> m_routes;
@@ -110,7 +112,7 @@
     // Of the response that is being received, or of a complete server error that is forwarded if no other runner answers.
     std::optional<runner_response_head> m_head;
     std::string m_body;
-    // Bytes of the response that are counted in entry_context::bufferedResponseBytes.
+    // Bytes of the response that are counted in request_totals::bufferedResponseBytes.
     std::size_t m_bufferedBytes = 0;
     bool m_isRelayingStream = false;
     // Whether the current attempt has produced an event.
