--- a/review/1/case.py
+++ b/review/1/case.py
@@ -15,9 +15,10 @@
 CLIENTS = 16
 WORK_S = 0.3
 SLOTS = 6
-SPOILT_SHARE = 0.05
+# The faulty runner spoils one answer in this many: 0.02, the share that the bench names.
+ANSWERS_PER_SPOILT = 50
 BEFORE_S = 5
-TRAFFIC_S = 20
+TRAFFIC_S = 24
 RESTART_S = 0.5
 
 # More channels that are closed without an answer break the rule.
@@ -49,6 +50,7 @@
         self.sequence = 0
         self.born = int(time.time() * 1000)
         self.spoils = False
+        self.answers = 0
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.ip, self.port)
@@ -78,7 +80,8 @@
             finally:
                 self.running -= 1
             fields = {"Attempt-Id": attempt, "Server-Seal": "3e1b.07.5a2.600.0." + attempt[-8:], "Server-Load": f"{self.running},0,{SLOTS}"}
-            if self.spoils and random.random() < SPOILT_SHARE:
+            self.answers += 1 if self.spoils else 0
+            if self.spoils and self.answers % ANSWERS_PER_SPOILT == ANSWERS_PER_SPOILT // 2:
                 self.record.write(f"{self.name}: spoils its answer to {attempt}")
                 writer.write(self.spoilt(fields))
             else:
