--- a/review/stand_ins/installation.py
+++ b/review/stand_ins/installation.py
@@ -209,12 +209,16 @@
         with open(self.settings, "w", encoding="utf-8") as file:
             json.dump(settings, file)
         self.process = None
+        self.starting = None
         self.ends = []
 
     async def start(self):
         environment = {"PATH": os.environ.get("PATH", ""), "HOME": os.environ.get("HOME", "/tmp"), "SARDINELB_CONFIG": self.settings}
         with open(self.log, "ab") as log:
-            self.process = await asyncio.create_subprocess_exec(*shlex.split(self.command), cwd=ROOT, env=environment, stdout=log, stderr=log)
+            # A start that is under way when the test ends is completed, so that the process can be ended.
+            self.starting = asyncio.ensure_future(
+                asyncio.create_subprocess_exec(*shlex.split(self.command), cwd=ROOT, env=environment, stdout=log, stderr=log))
+            self.process = await asyncio.shield(self.starting)
         self.record.write(f"platform: started {self.name}, process {self.process.pid}")
 
     def signal(self, number):
@@ -282,10 +286,12 @@
     async def __aexit__(self, *_):
         for task in self.tasks:
             task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
         for process in self.processes:
-            if process.process and process.process.returncode is None:
-                process.process.kill()
-                await process.process.wait()
+            started = await process.starting if process.starting else None
+            if started and started.returncode is None:
+                started.kill()
+                await started.wait()
         self.keep_logs()
         self.temporary.cleanup()
 
@@ -427,6 +433,9 @@
     """Runs a case to its verdict: 1 if the rule was broken, 0 if it held, 2 if it could not run."""
 
     async def bounded():
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         async with asyncio.timeout(110):
             return await case()
 
@@ -435,8 +444,8 @@
     except CannotRun as error:
         print(f"could not run: {error}")
         sys.exit(2)
-    except (TimeoutError, asyncio.TimeoutError):
-        print("could not run: out of time")
+    except (TimeoutError, asyncio.TimeoutError, asyncio.CancelledError):
+        print("could not run: out of time or ended")
         sys.exit(2)
     print(f"{os.path.basename(folder)}: the rule " + ("was broken" if broken else "held"))
     sys.exit(1 if broken else 0)
