--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,7 +10,7 @@
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "stand_ins"))
 from installation import CannotRun, Installation, play, read_head, request_bytes, trouble_wanted  # noqa: E402
-from rank_group import EVENTS, Group, RANKS, SERVICE, route  # noqa: E402
+from rank_group import EVENTS, Group, SERVICE, route, use_grown_size  # noqa: E402
 
 ENTRIES = 2
 CLIENTS = 32
@@ -78,6 +78,7 @@
 
 
 async def case():
+    use_grown_size()
     async with Installation(FOLDER, entries=ENTRIES) as installation:
         record = installation.record
         group = Group(installation)
