Bound the framing of HTTP bodies, so that no trailer ends a process

Cause: Boost.Beast bounds only the header. Trailer fields of any length are parsed, and storing one of more than 65,533 bytes throws, which nothing catches. The size line of a chunk was buffered without a bound. The same holds for requests of callers, for calls to the store and to runners, and for all HTTP of the product's own interface.

Fix: units of framing after the header are bounded to 16 KiB where the code feeds the parser, which also covers a field too long to store; where Beast reads by itself, the buffer is bounded.

--- a/relay/http_call_client.cpp
+++ b/relay/http_call_client.cpp
@@ -1,5 +1,6 @@
 #include "relay/http_call_client.h"
 
+#include "relay/bounded_parse.h"
 #include "relay/endpoint.h"
 
 #include <boost/asio/post.hpp>
@@ -41,7 +42,7 @@
         }
 
         beast::tcp_stream stream;
-        beast::flat_buffer input;
+        beast::flat_buffer input { maxFramingBytes };
         http::request<http::string_body> request;
         std::optional<http::response_parser<http::string_body>> parser;
         std::chrono::steady_clock::time_point idleSince;
--- a/relay/http_server_connection.cpp
+++ b/relay/http_server_connection.cpp
@@ -1,5 +1,6 @@
 #include "relay/http_server_connection.h"
 
+#include "relay/bounded_parse.h"
 #include "relay/http_request_message.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -9,6 +10,7 @@
 #include <boost/beast/http/status.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <optional>
@@ -182,12 +184,10 @@
     while (input.size() > 0 && !parser->is_done()) {
         const bool wasHeaderDone = parser->is_header_done();
         error_code error;
-        const std::size_t consumedBytes = parser->put(input.data(), error);
-        input.consume(consumedBytes);
-        if (error == http::error::need_more)
-            error = {};
+        const std::size_t maxUnitBytes = wasHeaderDone ? maxFramingBytes : std::max(maxFramingBytes, limits.maxHeaderBytes);
+        const std::size_t consumedBytes = parseBounded(*parser, input, maxUnitBytes, error);
         if (error == http::error::header_limit) {
-            reject(self, 431, "request header is too large");
+            reject(self, 431, "request header fields are too large");
             return;
         }
         if (error == http::error::body_limit) {
--- a/relay/runner_exchange.cpp
+++ b/relay/runner_exchange.cpp
@@ -1,5 +1,6 @@
 #include "relay/runner_exchange.h"
 
+#include "relay/bounded_parse.h"
 #include "relay/endpoint.h"
 #include "relay/http_response_head.h"
 
@@ -216,9 +217,8 @@
 {
     while (input.size() > 0 && !parser->is_done() && !isFinished) {
         error_code error;
-        const std::size_t consumedBytes = parser->put(input.data(), error);
-        input.consume(consumedBytes);
-        if (error && error != http::error::need_more)
+        const std::size_t consumedBytes = parseBounded(*parser, input, maxFramingBytes, error);
+        if (error)
             return false;
         if (isInterimHead()) {
             if (!skipInterimHead())
--- a/tests/error/http_server_test.cpp
+++ b/tests/error/http_server_test.cpp
@@ -134,6 +134,15 @@
     EXPECT_TRUE(has(answer, "refused 431: the request header exceeds the limit")) << answer;
 }
 
+// Guards against a trailer field that is too long for the parser, which throws and so ends the session without a response.
+TEST_F(http_server_test, oversizeTrailerIsRefused)
+{
+    auto connection = connect();
+    connection.send("POST /echo HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nq: " + std::string(70000, 'x') + "\r\n\r\n");
+    EXPECT_TRUE(connection.receiveAll().starts_with("HTTP/1.1 431"));
+    EXPECT_TRUE(events.read(requests).empty());
+}
+
 TEST_F(http_server_test, oversizeBodyIsRefusedWhetherOrNotItsLengthIsGiven)
 {
     const std::string body(limits.maxBodyBytes + 1, 'x');
--- a/tests/error/runner_client_test.cpp
+++ b/tests/error/runner_client_test.cpp
@@ -29,6 +29,8 @@
 
 const std::string streamHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+const std::string oversizeTrailer = "0\r\nq: " + std::string(70000, 'x') + "\r\n\r\n";
+
 std::string chunk(const std::string& bytes)
 {
     std::string size;
@@ -133,6 +135,17 @@
     EXPECT_EQ(events.read(tokens), 1U);
 }
 
+// Guards against a trailer field that is too long for the parser: it throws, and the call would end without an outcome.
+TEST_F(runner_client_test, oversizeTrailerOfAServiceIsBroken)
+{
+    EXPECT_EQ(callRespondingWith(streamHead + chunk("ok") + oversizeTrailer, pool_kind::Service), "failed broken");
+}
+
+TEST_F(runner_client_test, oversizeTrailerOfAStreamIsBroken)
+{
+    EXPECT_EQ(callRespondingWith(streamHead + chunk(tokenLine(0)) + oversizeTrailer), "failed broken");
+}
+
 // Only a refused connection proves that the runner did not receive the call.
 TEST_F(runner_client_test, refusedConnectionIsNotSent)
 {
--- a/tests/fleet/call_client_test.cpp
+++ b/tests/fleet/call_client_test.cpp
@@ -107,4 +107,15 @@
     EXPECT_EQ(m_connections, 1);
 }
 
+// Guards against a trailer field that is too long for the parser, which throws and so ends the process.
+TEST_F(call_client, trailerFieldOf70000Bytes_noResponse)
+{
+    m_server = std::make_unique<scripted_server>([](raw_connection& connection) {
+        connection.receiveUntil("\r\n\r\n");
+        connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nq: " + std::string(70000, 'x') + "\r\n\r\n");
+        connection.receiveAll();
+    });
+    EXPECT_EQ(call("/first"), "no response");
+}
+
 }
--- a/tests/fleet/entry_endless_response_test.cpp
+++ b/tests/fleet/entry_endless_response_test.cpp
@@ -62,4 +62,16 @@
     expectEndedWithin(8 * megabyte, "/book/x");
 }
 
+TEST_F(entry_endless_response, chunkSizeLine_neverEnds_unknownOutcomeAndMemoryBounded)
+{
+    const auto runner = startRunner("r1", "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Seal: s.1\r\nTransfer-Encoding: chunked\r\n\r\n2;a=", std::string(65536, 'x'));
+    expectEndedWithin(8 * megabyte, "/book/x");
+}
+
+TEST_F(entry_endless_response, trailer_neverEnds_unknownOutcomeAndMemoryBounded)
+{
+    const auto runner = startRunner("r1", "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Seal: s.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n", "X-Field: value\r\n");
+    expectEndedWithin(8 * megabyte, "/book/x");
+}
+
 }
--- a/tests/fleet/runner_exchange_test.cpp
+++ b/tests/fleet/runner_exchange_test.cpp
@@ -234,4 +234,21 @@
     EXPECT_EQ(exchange("HTTP/1.1 204 No Content\r\nContent-Length: 2\r\n\r\nok" + second).body, "");
 }
 
+// Guards against trailer fields that are too long for the parser, which throws and so ends the process.
+TEST_F(exchange_with_runner, trailer_fieldOf70000Bytes_broken)
+{
+    const std::string beginning = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n";
+    for (const std::size_t length : { 16384U, 65534U, 70000U, 1000000U })
+        EXPECT_EQ(exchange(beginning + "0\r\nq: " + std::string(length, 'x') + "\r\n\r\n").result, runner_exchange::result::Broken) << length;
+}
+
+// Guards against rejecting the trailer fields and chunk extensions of a sound runner.
+TEST_F(exchange_with_runner, trailer_severalFieldsAndChunkExtension_complete)
+{
+    const std::string field = "X: " + std::string(1000, 'x') + "\r\n";
+    const outcome received = exchange("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;a=" + std::string(1000, 'b') + "\r\nok\r\n0\r\n" + field + field + "\r\n");
+    EXPECT_EQ(received.result, runner_exchange::result::Complete);
+    EXPECT_EQ(received.body, "ok");
+}
+
 }
--- a/tests/fleet/server_connection_test.cpp
+++ b/tests/fleet/server_connection_test.cpp
@@ -197,4 +197,51 @@
     });
 }
 
+// Guards against a trailer field of a caller that is too long for the parser, which throws and so ends the process.
+TEST_F(server_connection, trailerFieldOf70000Bytes_rejected)
+{
+    listen([](const std::shared_ptr<http_server_connection>& caller, const http_request_message&) { caller->respond(200, "", ""); });
+    const std::string chunked = "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n";
+    const std::string longTrailer = chunked + "0\r\nq: " + std::string(70000, 'x') + "\r\n\r\n";
+    runCaller([&](raw_connection& connection) {
+        connection.send(longTrailer);
+        EXPECT_EQ(connection.receiveUntil("\r\n"), "HTTP/1.1 431 Request Header Fields Too Large\r\n");
+    });
+    EXPECT_EQ(m_rejected, std::vector<int> { 431 });
+}
+
+// Guards against the same trailer where all of it has been read ahead while the request before it was served.
+TEST_F(server_connection, trailerFieldOf70000Bytes_pipelined_rejected)
+{
+    listen([this](const std::shared_ptr<http_server_connection>& caller, const http_request_message&) {
+        auto timer = std::make_shared<boost::asio::steady_timer>(m_context, milliseconds(100));
+        timer->async_wait([timer, caller](const boost::system::error_code&) { caller->respond(200, "", ""); });
+    });
+    const std::string chunked = "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n";
+    runCaller([&](raw_connection& connection) {
+        connection.send(request("/first") + chunked + "0\r\nq: " + std::string(70000, 'x') + "\r\n\r\n");
+        EXPECT_EQ(connection.receiveUntil("\r\n"), "HTTP/1.1 200 OK\r\n");
+        connection.receiveUntil("\r\n\r\n");
+        EXPECT_EQ(connection.receiveUntil("\r\n"), "HTTP/1.1 431 Request Header Fields Too Large\r\n");
+    });
+}
+
+// Guards against a header limit above the longest field that the parser can store.
+TEST_F(server_connection, headerFieldOf70000Bytes_limitAllowsIt_rejected)
+{
+    listen([](const std::shared_ptr<http_server_connection>& caller, const http_request_message&) { caller->respond(200, "", ""); });
+    caller_limits limits;
+    limits.maxHeaderBytes = 200000;
+    m_listener->setLimits(limits);
+    runCaller([&](raw_connection& connection) {
+        connection.send("GET /x HTTP/1.1\r\nHost: h\r\nX: " + std::string(70000, 'x') + "\r\n\r\n");
+        EXPECT_EQ(connection.receiveUntil("\r\n"), "HTTP/1.1 431 Request Header Fields Too Large\r\n");
+    });
+    runCaller([&](raw_connection& connection) {
+        const std::string field = "X: " + std::string(60000, 'x') + "\r\n";
+        connection.send("GET /x HTTP/1.1\r\nHost: h\r\n" + field + field + "\r\n");
+        EXPECT_EQ(connection.receiveUntil("\r\n"), "HTTP/1.1 200 OK\r\n");
+    });
+}
+
 }
--- a/transport/blocking_http_client.cpp
+++ b/transport/blocking_http_client.cpp
@@ -1,5 +1,7 @@
 #include "transport/blocking_http_client.h"
 
+#include "relay/bounded_parse.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -72,7 +74,7 @@
     }
     http::response_parser<http::string_body> parser;
     parser.body_limit(maxResponseBytes);
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer { maxFramingBytes };
     if (auto [error, bytes] = co_await http::async_read(stream, buffer, parser, asTuple); error) {
         result = requestError(codeFor(error), address, error.message());
         co_return;
--- a/transport/http_session.cpp
+++ b/transport/http_session.cpp
@@ -1,5 +1,6 @@
 #include "transport/http_session.h"
 
+#include "relay/bounded_parse.h"
 #include "transport/http_exchange.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -12,6 +13,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/status.hpp>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -51,7 +53,7 @@
 
 std::pair<int, std::string> rejectionFor(const beast::error_code& error)
 {
-    if (error == http::error::header_limit)
+    if (error == http::error::header_limit || error == http::error::buffer_overflow)
         return { 431, "the request header exceeds the limit" };
     if (error == http::error::body_limit)
         return { 413, "the request body exceeds the limit" };
@@ -74,6 +76,7 @@
     , m_limits(limits)
     , m_handler(std::move(handler))
     , m_rejectionBody(std::move(rejectionBody))
+    , m_buffer(std::min(limits.maxHeaderBytes + maxFramingBytes, maxFieldBytes))
     , m_outputReady(m_stream.get_executor())
     , m_requestDeadline(m_stream.get_executor())
 {
--- a/transport/runner_client.cpp
+++ b/transport/runner_client.cpp
@@ -1,5 +1,6 @@
 #include "transport/runner_client.h"
 
+#include "relay/bounded_parse.h"
 #include "state/bounded_json.h"
 #include "state/pool.h"
 #include "transport/net_thread.h"
@@ -232,7 +233,7 @@
 asio::awaitable<void> runner_client::implementation::readServiceResponse(active_call& call)
 {
     std::optional<http::response_parser<http::string_body>> parser;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer { maxFramingBytes };
     const bool hasBody = call.action.submit.method != "HEAD";
     auto failed = co_await readHead(call.stream, buffer, parser, maxServiceResponseBytes, hasBody);
     if (!failed)
@@ -255,7 +256,7 @@
 asio::awaitable<void> runner_client::implementation::readModelStream(active_call& call)
 {
     std::optional<http::response_parser<http::buffer_body>> parser;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer { maxFramingBytes };
     if (const auto error = co_await readHead(call.stream, buffer, parser, boost::none, true); error) {
         reportFailure(call, call_failure::Broken, "no response from the runner: " + error.message());
         co_return;
@@ -364,7 +365,7 @@
     if (auto [error, bytes] = co_await http::async_write(stream, request, asTuple); error)
         co_return;
     http::response_parser<http::string_body> parser;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer { maxFramingBytes };
     // The response is ignored; reading it avoids a connection reset at the runner.
     co_await http::async_read(stream, buffer, parser, asTuple);
 }
@@ -381,7 +382,7 @@
     if (auto [error, bytes] = co_await http::async_write(stream, request, asTuple); error)
         co_return false;
     http::response_parser<http::string_body> parser;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer { maxFramingBytes };
     auto [error, bytes] = co_await http::async_read(stream, buffer, parser, asTuple);
     // Any response shows that the runner is reachable; services need not implement the path.
     co_return !error;
