Roll a map switch back only with the experts of all ranks

Cause: the rollback lets ranks prepare the map in use under a higher version. That map was put together from the lists of experts that had arrived; agents send them only now and then. A rank without a list removed the ranks before it, runners refuse such a map, and it was never put together again.

Fix: no map without the lists of all ranks, for the same version. Missing lists are read from the runners, also where an agent is down. The map of a rollback is put together when it is needed.

Evidence: two new cases of map_switch_fault_test fail on the code before; the fake group now refuses maps that are not whole, as runners do.

--- a/expert_map/map_switch.cpp
+++ b/expert_map/map_switch.cpp
@@ -70,6 +70,25 @@
         known.expertsBySet = std::move(experts);
 }
 
+void map_switch::onExperts(rank_id rank, std::uint64_t epoch, map_version map, std::vector<std::vector<expert_number>> expertsBySet)
+{
+    const auto known = m_ranks.find(rank);
+    if (known != m_ranks.end() && epoch == m_epoch && map == known->second.map)
+        known->second.expertsBySet = std::move(expertsBySet);
+}
+
+std::vector<rank_id> map_switch::ranksLackingExperts() const
+{
+    std::vector<rank_id> lacking;
+    if (m_stage != stage::RollingBack)
+        return lacking;
+    for (const auto& [rank, status] : m_ranks) {
+        if (status.expertsBySet.empty())
+            lacking.push_back(rank);
+    }
+    return lacking;
+}
+
 bool map_switch::isComplete(time_point now) const
 {
     if (m_ranks.size() != m_groupSize)
@@ -128,9 +147,14 @@
 
 std::shared_ptr<const expert_placement> map_switch::placementInUse() const
 {
+    if (m_ranks.size() != m_groupSize)
+        return nullptr;
+    const rank_status& first = m_ranks.begin()->second;
     auto placement = std::make_shared<expert_placement>();
+    placement->sets.resize(first.expertsBySet.size());
     for (const auto& [rank, status] : m_ranks) {
-        placement->sets.resize(status.expertsBySet.size());
+        if (status.map != first.map || status.expertsBySet.empty() || status.expertsBySet.size() != first.expertsBySet.size())
+            return nullptr;
         for (std::size_t set = 0; set < status.expertsBySet.size(); ++set)
             placement->sets[set].push_back(status.expertsBySet[set]);
     }
@@ -141,12 +165,8 @@
 {
     if (m_stage != stage::Idle || !isComplete(now))
         return std::nullopt;
-    const rank_status& first = m_ranks.begin()->second;
-    for (const auto& [rank, status] : m_ranks) {
-        if (status.map != first.map || status.expertsBySet.empty() || status.expertsBySet.size() != first.expertsBySet.size())
-            return std::nullopt;
-    }
-    return *placementInUse();
+    const auto placement = placementInUse();
+    return placement ? std::optional(*placement) : std::nullopt;
 }
 
 void map_switch::enterStage(stage next, time_point now)
@@ -168,7 +188,7 @@
     map_order order { action, rank, m_epoch, version, step, std::move(placement) };
     if (order.placement) {
         order.basePlacement = m_basePlacement;
-        order.base = m_ranks.begin()->second.map;
+        order.base = m_base;
     }
     m_orders.push_back(std::move(order));
 }
@@ -186,9 +206,13 @@
         if (status.armed || status.held)
             return false;
     }
+    const auto base = placementInUse();
+    if (!base)
+        return false;
     m_version = nextVersion();
     m_placement = std::make_shared<expert_placement>(placement);
-    m_basePlacement = placementInUse();
+    m_basePlacement = base;
+    m_base = m_ranks.begin()->second.map;
     m_copyTime = copyTime;
     m_holdAttempts = 0;
     m_hasResentPrepare = false;
@@ -228,12 +252,22 @@
 void map_switch::startRollback(time_point now)
 {
     m_rollbackVersion = nextVersion();
-    m_placement = placementInUse();
-    m_basePlacement = m_placement;
+    m_placement.reset();
     enterStage(stage::RollingBack, now);
     advanceRollback(now);
 }
 
+bool map_switch::updateRollbackPlacement()
+{
+    const map_version inUse = m_ranks.begin()->second.map;
+    if (m_placement && m_base == inUse)
+        return true;
+    m_placement = placementInUse();
+    m_basePlacement = m_placement;
+    m_base = inUse;
+    return m_placement != nullptr;
+}
+
 void map_switch::resetIfPaused(time_point now)
 {
     const bool wasPaused = now - m_lastRun > maxCallGap;
@@ -383,6 +417,8 @@
     const auto last = m_lastSentAt.find(status.rank);
     if (last != m_lastSentAt.end() && now - last->second < resendInterval && !isAnswerKnown)
         return;
+    if (!status.armed && !updateRollbackPlacement())
+        return;
     m_lastAnswerAt.erase(status.rank);
     m_lastSentAt[status.rank] = now;
     if (status.armed)
--- a/expert_map/map_switch.h
+++ b/expert_map/map_switch.h
@@ -49,8 +49,15 @@
 
     void onReport(const rank_status&);
 
-    // Starts a switch. Returns false if a switch is in progress, a rank has no recent report, or the retry delay after a
-    // failure has not passed.
+    // Handles the list of the experts of a rank that holds them in `map`. Ignored if the rank has since reported another map.
+    void onExperts(rank_id, std::uint64_t epoch, map_version map, std::vector<std::vector<expert_number>> expertsBySet);
+
+    // Ranks whose experts must be known before a rollback can continue. Their runners must be asked, because reports list the
+    // experts only now and then, and not at all while an agent is down.
+    std::vector<rank_id> ranksLackingExperts() const;
+
+    // Starts a switch. Returns false if a switch is in progress, a rank has no recent report or its experts are not known, or
+    // the retry delay after a failure has not passed.
     bool begin(const expert_placement&, duration copyTime, time_point now);
 
     void onOrderResult(const map_order&, map_order_result, time_point now);
@@ -97,7 +104,10 @@
     map_version nextVersion();
     std::uint64_t highestStep() const;
     std::optional<step_number> heldStep() const;
+    // The map in use, or nullptr while the experts of a rank are not known or ranks report different maps.
     std::shared_ptr<const expert_placement> placementInUse() const;
+    // Updates the map that ranks prepare in a rollback. Returns false while the map in use is not known.
+    bool updateRollbackPlacement();
 
     rank_id m_coordinator;
     std::uint32_t m_groupSize;
@@ -114,8 +124,9 @@
     map_version m_rollbackVersion;
     step_number m_step;
     std::shared_ptr<const expert_placement> m_placement;
-    // The map in use when m_placement was chosen.
+    // The map in use when m_placement was chosen, and its version.
     std::shared_ptr<const expert_placement> m_basePlacement;
+    map_version m_base;
     duration m_copyTime {};
     std::uint32_t m_holdAttempts = 0;
     std::set<rank_id> m_armedRanks;
--- a/fleet/agent_process.cpp
+++ b/fleet/agent_process.cpp
@@ -144,6 +144,7 @@
     void startCoordinator();
     void sendOrderToRunner(const map_order&);
     void pollSilentRanks();
+    void readLackingExperts();
     std::string addressOf(rank_id) const;
     void removeSilent();
 };
@@ -496,6 +497,7 @@
     sendDemandRoutes();
     if (isActiveCoordinator || coordinator->isBusy())
         pollSilentRanks();
+    readLackingExperts();
 }
 
 std::string agent_process::implementation::addressOf(rank_id rank) const
@@ -533,6 +535,16 @@
     }
 }
 
+void agent_process::implementation::readLackingExperts()
+{
+    for (const rank_id rank : coordinator->takeRanksLackingExperts(steadyNow())) {
+        runner.readExperts(addressOf(rank), [this, rank](std::optional<platform::held_experts> response) {
+            if (response && coordinator)
+                coordinator->onExperts(rank, response->epoch, response->map, std::move(response->experts));
+        });
+    }
+}
+
 agent_process::agent_process(boost::asio::io_context& context, platform::settings options, event_log& log)
     : m_implementation(std::make_shared<implementation>(context, std::move(options), log))
 {
--- a/fleet/group_coordinator.cpp
+++ b/fleet/group_coordinator.cpp
@@ -19,6 +19,9 @@
 // A rank without a report for this long is silent. Reports arrive ten times a second.
 constexpr duration reportTimeout = std::chrono::milliseconds(350);
 
+// Interval of reading the experts of ranks that have not reported them.
+constexpr duration expertReadInterval = std::chrono::milliseconds(300);
+
 // Minimum relative reduction of the pass time by a plan. Executing a plan with less gain would delay one with more.
 constexpr double minGain = 0.08;
 
@@ -104,6 +107,11 @@
     m_switch.onReport(status);
 }
 
+void group_coordinator::onExperts(rank_id rank, std::uint64_t epoch, map_version map, std::vector<std::vector<expert_number>> expertsBySet)
+{
+    m_switch.onExperts(rank, epoch, map, std::move(expertsBySet));
+}
+
 void group_coordinator::onDemand(const demand_report_message& message, time_point now)
 {
     if (m_switch.ranks().empty())
@@ -196,6 +204,18 @@
     return silent;
 }
 
+std::vector<rank_id> group_coordinator::takeRanksLackingExperts(time_point now)
+{
+    if (now < m_nextExpertReadAt)
+        return {};
+    std::vector<rank_id> lacking = m_switch.ranksLackingExperts();
+    if (!lacking.empty()) {
+        m_nextExpertReadAt = now + expertReadInterval;
+        m_log.write("map_rollback_waits", { { "group", m_group.value() }, { "ranks", static_cast<std::int64_t>(lacking.size()) } });
+    }
+    return lacking;
+}
+
 void group_coordinator::sendOrders()
 {
     for (const map_order& order : m_switch.takeOrders())
--- a/fleet/group_coordinator.h
+++ b/fleet/group_coordinator.h
@@ -45,6 +45,9 @@
     // Processes the report of a rank.
     void onReport(const rank_message&, time_point now);
 
+    // Processes the list of the experts that a rank holds in `map`, read from its runner.
+    void onExperts(rank_id, std::uint64_t epoch, map_version map, std::vector<std::vector<expert_number>> expertsBySet);
+
     // Processes a report of the demand of some ranks. Ignored if it is from another epoch.
     void onDemand(const demand_report_message&, time_point now);
 
@@ -63,6 +66,10 @@
     // Ranks without a recent report, whose runners must be polled directly.
     std::vector<rank_id> silentRanks(time_point now) const;
 
+    // Ranks whose experts must be read from their runners, so that a rollback can continue. Names each rank at most once per
+    // interval, since the group pauses for such a read.
+    std::vector<rank_id> takeRanksLackingExperts(time_point now);
+
 private:
     void planNextSwitch(time_point now);
     double slotUtilization() const;
@@ -81,6 +88,7 @@
     // Requests running on each rank.
     std::map<rank_id, std::uint32_t> m_running;
     time_point m_plannedAt;
+    time_point m_nextExpertReadAt;
 };
 
 }
--- a/tests/fleet/fake_rank_group.h
+++ b/tests/fleet/fake_rank_group.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace sardinelb::test {
@@ -28,7 +29,7 @@
         bool isAccepted = false;
         switch (order.action) {
         case map_order::kind::Prepare:
-            isAccepted = order.version.value() > target.highestVersion && !target.armed;
+            isAccepted = order.version.value() > target.highestVersion && !target.armed && isWholeMap(order);
             if (isAccepted) {
                 target.highestVersion = order.version.value();
                 target.preparing = order.version.value();
@@ -120,6 +121,17 @@
         std::optional<std::uint64_t> held;
     };
 
+    // Whether the map names the experts of each rank, and each expert is on a rank.
+    bool isWholeMap(const map_order& order) const
+    {
+        if (!order.placement || order.placement->sets.size() != 1 || order.placement->sets.front().size() != m_ranks.size())
+            return false;
+        std::set<expert_number> placed;
+        for (const auto& experts : order.placement->sets.front())
+            placed.insert(experts.begin(), experts.end());
+        return placed.size() == m_ranks.size();
+    }
+
     static duration copyTime(const rank&, const map_order&) { return std::chrono::milliseconds(300); }
 
     void finishCopies(time_point now)
--- a/tests/fleet/map_switch_fault_test.cpp
+++ b/tests/fleet/map_switch_fault_test.cpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -28,6 +29,8 @@
 constexpr milliseconds secondStandbyTakeoverDelay { 3000 };
 constexpr std::uint32_t coordinatorCount = 3;
 
+constexpr milliseconds restartTime { 800 };
+
 // Longest time for which any of the faults may delay the group's next pass. Late orders are carried out after up to 12 s, and
 // the coordinator may be frozen in the meantime.
 constexpr milliseconds maxRecoveryTime { 9000 };
@@ -48,6 +51,8 @@
     Frozen,
     // Terminated after the order was sent.
     Killed,
+    // All coordinators are terminated after the order was sent, and start again, knowing nothing, after restartTime.
+    AllRestarted,
 };
 
 // Fault injected at the order with this number, counted over all coordinators.
@@ -67,7 +72,7 @@
         , m_faults(std::move(faults))
     {
         for (std::uint32_t i = 0; i < coordinatorCount; ++i)
-            m_coordinators.push_back({ std::make_unique<map_switch>(rank_id(i), groupSize), {}, false, {} });
+            m_coordinators.push_back({ std::make_unique<map_switch>(rank_id(i), groupSize), {}, false, {}, 0 });
         at(milliseconds(1), [this] { pass(); });
         at(milliseconds(2), [this] { tick(); });
     }
@@ -84,6 +89,12 @@
         }
     }
 
+    // From now on, one in this many reports of a rank lists its experts; the ranks list them at different times.
+    void setReportsPerExpertList(std::uint32_t reports) { m_reportsPerExpertList = reports; }
+
+    // The agent of this rank is down: its reports are read from the runner and list no experts.
+    void setAgentDown(rank_id rank) { m_rankWithoutAgent = rank; }
+
     // From `begin` on, the coordinators do not hear from each other for `length`, but still reach the ranks.
     void partition(duration begin, duration length)
     {
@@ -103,6 +114,7 @@
         bool isDead = false;
         // Work that arrived while it was frozen.
         std::vector<std::function<void()>> pending;
+        std::uint32_t reports = 0;
     };
 
     void at(duration delay, std::function<void()> action)
@@ -154,11 +166,17 @@
     void advance(std::size_t number)
     {
         map_switch& logic = *m_coordinators[number].logic;
+        ++m_coordinators[number].reports;
         for (std::uint32_t i = 0; i < m_groupSize; ++i) {
             rank_status status = m_group.status(rank_id(i), m_now);
             status.receivedAt = m_now;
+            const bool listsExperts = (m_coordinators[number].reports + i) % m_reportsPerExpertList == 0;
+            if (!listsExperts || m_rankWithoutAgent == rank_id(i))
+                status.expertsBySet.clear();
             logic.onReport(status);
         }
+        for (const rank_id rank : logic.ranksLackingExperts())
+            at(orderDelay, [this, number, rank] { run(number, [this, number, rank] { listExperts(number, rank); }); });
         const bool isInCharge = isFirstReachable(number);
         logic.advance(m_now, isInCharge);
         if (isInCharge && logic.currentPlacement(m_now))
@@ -166,6 +184,12 @@
         sendOrders(number);
     }
 
+    void listExperts(std::size_t number, rank_id rank)
+    {
+        const rank_status status = m_group.status(rank, m_now);
+        m_coordinators[number].logic->onExperts(rank, status.epoch, status.map, status.expertsBySet);
+    }
+
     void sendOrders(std::size_t number)
     {
         for (const map_order& order : m_coordinators[number].logic->takeOrders())
@@ -192,12 +216,24 @@
         coordinator& one = m_coordinators[number];
         if (what == coordinator_fault::Killed)
             one.isDead = true;
+        if (what == coordinator_fault::AllRestarted)
+            restartAll();
         if (what != coordinator_fault::Frozen)
             return;
         one.frozenUntil = m_now + milliseconds(3000);
         at(milliseconds(3000), [this, number] { resume(number); });
     }
 
+    void restartAll()
+    {
+        for (coordinator& each : m_coordinators)
+            each.isDead = true;
+        at(restartTime, [this] {
+            for (std::uint32_t i = 0; i < coordinatorCount; ++i)
+                m_coordinators[i] = { std::make_unique<map_switch>(rank_id(i), m_groupSize), {}, false, {}, 0 };
+        });
+    }
+
     void resume(std::size_t number)
     {
         auto pending = std::exchange(m_coordinators[number].pending, {});
@@ -230,6 +266,8 @@
     time_point m_now;
     std::array<time_point, coordinatorCount> m_heardAt {};
     time_point m_partitionedUntil;
+    std::uint32_t m_reportsPerExpertList = 1;
+    std::optional<rank_id> m_rankWithoutAgent;
 };
 
 // Orders of the first two switches; each takes 4 prepare, 1 hold, 4 arm and 1 release orders.
@@ -334,4 +372,41 @@
     }
 }
 
+// Guards against a group that stands still after all processes were killed during a switch: the new coordinators know the
+// experts of some ranks only, and ranks refuse a map that lacks ranks.
+TEST_F(map_switch_fault, allCoordinatorsRestart_expertsListedLate_ranksAgree)
+{
+    for (const std::uint32_t size : { 8U, 32U, 96U }) {
+        for (const std::size_t order : { std::size_t { 0 }, std::size_t { size / 2 }, std::size_t { size }, std::size_t { size + 1 }, std::size_t { size + size / 2 }, std::size_t { 2 * size + 1 } }) {
+            for (const auto onOrder : { order_fault::None, order_fault::Lost, order_fault::AnswerLost, order_fault::Late }) {
+                const std::vector<fault> faults { { order, onOrder, coordinator_fault::AllRestarted, milliseconds(2500) } };
+                map_switch_simulation simulation(faults, size);
+                simulation.setReportsPerExpertList(20);
+                simulation.run(milliseconds(20000));
+                EXPECT_FALSE(simulation.hasMixedMaps) << size << describe(faults);
+                EXPECT_LE(simulation.longestPassGap, maxRecoveryTime) << size << describe(faults);
+                EXPECT_LE(simulation.sinceLastPass(), milliseconds(1000)) << size << describe(faults);
+                EXPECT_GT(simulation.mapInUse(), 0U) << size << describe(faults);
+            }
+        }
+    }
+}
+
+// The same while the agent of a rank is down, so that only the runner itself can tell which experts the rank holds.
+TEST_F(map_switch_fault, allCoordinatorsRestart_agentOfARankDown_passReleased)
+{
+    for (std::size_t order = 0; order < ordersOfTwoSwitches / 2; ++order) {
+        const std::vector<fault> faults { { order, order_fault::None, coordinator_fault::AllRestarted, {} } };
+        map_switch_simulation simulation(faults);
+        simulation.run(milliseconds(1));
+        simulation.setReportsPerExpertList(5);
+        simulation.run(milliseconds(900));
+        simulation.setAgentDown(rank_id(2));
+        simulation.run(milliseconds(12000));
+        EXPECT_FALSE(simulation.hasMixedMaps) << describe(faults);
+        EXPECT_LE(simulation.longestPassGap, maxRecoveryTime) << describe(faults);
+        EXPECT_LE(simulation.sinceLastPass(), milliseconds(1000)) << describe(faults);
+    }
+}
+
 }
