Keep a silent stream until another runner continues it

Cause: after 1.1 s of silence the attempt was ended before it was known whether another one is allowed and possible. Where it was not, or the next runner rejected the request, broke off or was silent too, the stream was closed.

Fix: the silent attempt is kept beside the one that is to continue its stream. The first that delivers an event wins and the others are cancelled; if no other attempt is left, the request waits for the silent one.

--- a/fleet/request_relay.h
+++ b/fleet/request_relay.h
@@ -1,11 +1,10 @@
 #pragma once
 
+#include "fleet/runner_attempt.h"
 #include "relay/runner_exchange.h"
 #include "serving/attempt_failure.h"
-#include "serving/event_splitter.h"
 #include "serving/key_owner.h"
 #include "serving/proxied_request.h"
-#include "serving/runner_response_head.h"
 #include "state/ids.h"
 #include "state/time.h"
 
@@ -24,6 +23,7 @@
 class entry_context;
 class route_index;
 struct expected_response;
+struct failover_context;
 struct http_response_head;
 struct request_totals;
 struct traffic_route;
@@ -66,19 +66,40 @@
     // Counts the buffered part of the response. Returns false if it is too long to buffer.
     bool updateBufferedBytes();
     // Whether the stream of a response that is complete by its framing ended inside an event or before the first one.
-    bool hasStreamEndedEarly(runner_exchange::result) const;
+    static bool hasStreamEndedEarly(const runner_attempt&, runner_exchange::result);
     void onResponseComplete();
     void onAttemptFailed(attempt_failure, const char* why);
     // Forgets a response that is not forwarded, and frees what is buffered of it.
     void dropResponse();
     // Whether an attempt that failed may have ended its runner, or lost it before its answer began.
     bool mayRunnerHaveCrashed(attempt_failure) const;
+    failover_context failoverContext(attempt_failure, bool hasRunnerCrashed);
     void retryOrFail(attempt_failure, const char* why, bool hasRunnerCrashed);
     // Ends the request without another attempt.
     void endUnserved(const char* why, std::optional<duration> retryAfter);
     std::optional<duration> quarantineLeft() const;
     void recordAnswer();
-    void startSilenceTimer();
+    bool isCurrent(std::uint32_t number) const { return m_attempt.number == number; }
+    // Calls onSilence() once no event has arrived for a while since `since`.
+    void startSilenceTimer(time_point since);
+    bool isSilent() const;
+    // Continues a silent stream at another runner, if that is allowed. The silent attempt is kept until another one delivers an
+    // event, because a runner's silence alone does not end a stream.
+    void onSilence();
+    void onSilentRunnerEnded();
+    void continueElsewhere();
+    std::vector<runner_attempt>::iterator findSilentAttempt(std::uint32_t number);
+    void onSilentBody(std::uint32_t number, std::string_view);
+    void onSilentEnd(std::uint32_t number, runner_exchange::result);
+    // Makes a silent attempt that delivers again the current one, and ends the attempt that was to continue its stream.
+    void resumeSilentAttempt(std::vector<runner_attempt>::iterator);
+    // Makes the last silent attempt the current one, because no other runner can continue its stream. Returns false if there is none.
+    bool waitForSilentAttempt();
+    void abandonSilentAttempt(std::vector<runner_attempt>::iterator, const char* why);
+    void abandonSilentAttempts();
+    // Ends the current attempt. Returns false if none is in flight.
+    bool abandonAttempt();
+    void leaveQueue();
     void scheduleBacklogCheck();
     void onDeadline();
     void onCallerDisconnect();
@@ -105,21 +126,12 @@
     std::optional<std::uint64_t> m_ticket;
     bool m_isCallerRetry = false;
 
-    // The current attempt.
-    std::shared_ptr<runner_exchange> m_exchange;
-    runner_id m_runner;
-    time_point m_sentAt;
-    // Of the response that is being received, or of a complete server error that is forwarded if no other runner answers.
-    std::optional<runner_response_head> m_head;
-    std::string m_body;
+    // The current attempt, or the last one while another is to be sent.
+    runner_attempt m_attempt;
+    // Attempts whose stream has been silent for a while, kept while another attempt is to continue it.
+    std::vector<runner_attempt> m_silentAttempts;
     // Bytes of the response that are counted in request_totals::bufferedResponseBytes.
     std::size_t m_bufferedBytes = 0;
-    bool m_isRelayingStream = false;
-    // Whether the current attempt has produced an event.
-    bool m_hasReceivedEvent = false;
-    // Whether the current attempt has got past the beginning of its answer.
-    bool m_hasAnswered = false;
-    time_point m_lastEventAt;
     // Time from the caller's request to the first event of its stream, and the longest time between two events.
     duration m_timeToFirstEvent {};
     duration m_maxEventGap {};
@@ -130,7 +142,6 @@
     std::uint32_t m_attemptsNotRun = 0;
     bool m_mayHaveRun = false;
     bool m_isResponseStarted = false;
-    event_splitter m_events;
     bool m_isFinished = false;
 };
 
--- /dev/null
+++ b/fleet/runner_attempt.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "serving/event_splitter.h"
+#include "serving/runner_response_head.h"
+#include "state/ids.h"
+#include "state/time.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace sardinelb {
+
+class runner_exchange;
+
+// One attempt of a request at a runner, and what has been received of the response.
+struct runner_attempt {
+    // Distinguishes the attempts of a request. 0 before the first one.
+    std::uint32_t number = 0;
+    // Not set after the attempt has ended.
+    std::shared_ptr<runner_exchange> exchange;
+    runner_id runner;
+    time_point sentAt;
+    // Of the response that is being received, or of a complete server error that is forwarded if no other runner answers.
+    std::optional<runner_response_head> head;
+    std::string body;
+    // Also knows the last event that earlier attempts have sent to the caller.
+    event_splitter events;
+    bool isRelayingStream = false;
+    bool hasReceivedEvent = false;
+    // Whether the attempt has got past the beginning of its answer.
+    bool hasAnswered = false;
+    time_point lastEventAt;
+};
+
+}
--- a/serving/runner_directory.cpp
+++ b/serving/runner_directory.cpp
@@ -395,6 +395,16 @@
 void runner_directory::onAttemptFailed(const runner_id& id, attempt_failure failure, time_point now)
 {
     onAttemptAbandoned(id);
+    recordFailure(id, failure, now);
+}
+
+void runner_directory::onSilence(const runner_id& id, time_point now)
+{
+    recordFailure(id, attempt_failure::OutcomeUnknown, now);
+}
+
+void runner_directory::recordFailure(const runner_id& id, attempt_failure failure, time_point now)
+{
     runner_record* record = findRecord(id);
     if (!record)
         return;
--- a/serving/runner_directory.h
+++ b/serving/runner_directory.h
@@ -71,6 +71,8 @@
     // response.
     void onAttemptSucceeded(const runner_id&, duration responseTime);
     void onAttemptFailed(const runner_id&, attempt_failure, time_point now);
+    // Records that a stream has been silent for a while. Its attempt goes on.
+    void onSilence(const runner_id&, time_point now);
     // Ends an attempt that says nothing about the runner's health, such as when the caller left.
     void onAttemptAbandoned(const runner_id&);
 
@@ -142,6 +144,7 @@
     const engine_profile* engineOf(const pool_id&) const;
     double score(const runner_record&, time_point now) const;
     runner_record* findRecord(const runner_id&);
+    void recordFailure(const runner_id&, attempt_failure, time_point now);
     void updateLimitPosition(runner_record&) const;
     // Rate at which a runner takes requests that would take `requestsPerSecond` without a limit.
     static double limitedRate(const runner_record&, double requestsPerSecond);
