Reject what a stopping entry cannot finish, and answer the rest

Cause: a stopping entry took every request that was complete, however late, and at its end stopped the event loop, which closed all that remained, also requests that had never been sent to a runner.

At the end the entry answers what remains, 503 or 504. Responses announce the end of their connection from SIGTERM on.

--- a/fleet/entry_context.cpp
+++ b/fleet/entry_context.cpp
@@ -34,10 +34,42 @@
     , m_startedAt(steadyNow())
     , m_dispatchTimer(m_executor)
 {
+    m_promptGuard.setRequestCheck([this] { forEachRequest([](request_relay& relay) { relay.onQuarantine(); }); });
 }
 
 entry_context::~entry_context() = default;
 
+void entry_context::addRequest(request_relay* address, std::weak_ptr<request_relay> relay)
+{
+    m_requests.emplace(address, std::move(relay));
+}
+
+void entry_context::removeRequest(request_relay* address)
+{
+    m_requests.erase(address);
+}
+
+void entry_context::forEachRequest(const std::function<void(request_relay&)>& action)
+{
+    // Copied, because requests that end remove themselves.
+    const auto requests = m_requests;
+    for (const auto& [address, request] : requests) {
+        if (const auto relay = request.lock())
+            action(*relay);
+    }
+}
+
+void entry_context::beginStop(time_point acceptsUntil, time_point endsAt)
+{
+    m_acceptsUntil = acceptsUntil;
+    m_endsAt = endsAt;
+}
+
+bool entry_context::isTooLateFor(time_point deadline, time_point now) const
+{
+    return m_acceptsUntil && now >= *m_acceptsUntil && deadline > m_endsAt;
+}
+
 config_version entry_context::configurationVersion() const
 {
     return m_routes ? m_routes->configuration().version : config_version {};
--- a/fleet/entry_context.h
+++ b/fleet/entry_context.h
@@ -10,6 +10,7 @@
 #include "state/ids.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -88,6 +89,18 @@
 
     const std::shared_ptr<request_totals>& totals() const { return m_totals; }
 
+    // Requests register until they end.
+    void addRequest(request_relay*, std::weak_ptr<request_relay>);
+    void removeRequest(request_relay*);
+    void forEachRequest(const std::function<void(request_relay&)>&);
+
+    // Announces that the process ends at `endsAt`. Requests that arrive after `acceptsUntil` are rejected unless their time limit
+    // ends before the process does.
+    void beginStop(time_point acceptsUntil, time_point endsAt);
+
+    // Whether a request that arrives now may outlast this process.
+    bool isTooLateFor(time_point deadline, time_point now) const;
+
 private:
     void scheduleDispatch();
     // Decides whether the runners of the pool should work off late requests in all their slots.
@@ -105,6 +118,10 @@
     std::map<pool_id, admission_queue> m_queues;
     std::unordered_map<std::uint64_t, std::weak_ptr<request_relay>> m_waiting;
     std::shared_ptr<request_totals> m_totals;
+    std::unordered_map<request_relay*, std::weak_ptr<request_relay>> m_requests;
+    // Set while the process stops.
+    std::optional<time_point> m_acceptsUntil;
+    time_point m_endsAt;
     std::unordered_map<pool_id, retry_budget_share> m_retryBudgets;
     std::unordered_map<std::string, duration> m_maxCallerTimeouts;
     std::uint64_t m_lastTicket = 0;
--- a/fleet/entry_process.cpp
+++ b/fleet/entry_process.cpp
@@ -55,9 +55,12 @@
 
 constexpr std::chrono::milliseconds stopCheckInterval { 100 };
 
-// A stopping entry aborts the remaining requests this long before the platform would kill it.
+// A stopping entry ends the remaining requests this long before the platform would kill it.
 constexpr std::chrono::milliseconds stopMargin { 400 };
 
+// Time to send the last responses.
+constexpr std::chrono::milliseconds finalFlushTime { 100 };
+
 std::int64_t epochField(const store_revision& revision)
 {
     return static_cast<std::int64_t>(revision.epoch.value());
@@ -147,6 +150,8 @@
     void respondWithStatus(const std::shared_ptr<http_server_connection>&, const http_request_message&);
     void stop();
     void advanceStop();
+    // Ends the remaining requests and then the process.
+    void endStop();
 };
 
 bool entry_process::implementation::start()
@@ -477,6 +482,8 @@
     isStopping = true;
     stopStartedAt = steadyNow();
     peers.announceStop();
+    entry.beginStop(stopStartedAt + drainDelay, stopStartedAt + options.stopGrace - stopMargin);
+    callerServer->announceClose();
     log.write("stopping", { { "requests", static_cast<std::int64_t>(entry.totals()->activeRequests) } });
     advanceStop();
 }
@@ -490,8 +497,7 @@
     }
     const bool isIdle = elapsed >= drainDelay && entry.totals()->activeRequests == 0 && callerServer->connectionCount() == 0;
     if (isIdle || elapsed >= options.stopGrace - stopMargin) {
-        log.write("stopped", { { "requests", static_cast<std::int64_t>(entry.totals()->activeRequests) } });
-        context.stop();
+        endStop();
         return;
     }
     stopTimer.expires_after(stopCheckInterval);
@@ -501,6 +507,19 @@
     });
 }
 
+void entry_process::implementation::endStop()
+{
+    const std::size_t remaining = entry.totals()->activeRequests;
+    log.write("stopped", { { "requests", static_cast<std::int64_t>(remaining) } });
+    if (remaining == 0) {
+        context.stop();
+        return;
+    }
+    entry.forEachRequest([](request_relay& relay) { relay.onProcessEnd(); });
+    stopTimer.expires_after(finalFlushTime);
+    stopTimer.async_wait([this](const boost::system::error_code&) { context.stop(); });
+}
+
 entry_process::entry_process(boost::asio::io_context& context, platform::settings options, event_log& log)
     : m_implementation(std::make_shared<implementation>(context, std::move(options), log))
 {
--- a/fleet/http_listener.cpp
+++ b/fleet/http_listener.cpp
@@ -65,6 +65,8 @@
         }
         const auto connection = std::make_shared<http_server_connection>(std::move(socket), self->m_limits, self->m_hooks);
         self->m_connections.insert(connection.get());
+        if (self->m_isCloseAnnounced)
+            connection->announceClose();
         connection->start();
         self->accept();
     });
@@ -81,6 +83,13 @@
     m_acceptor.close(ignored);
 }
 
+void http_listener::announceClose()
+{
+    m_isCloseAnnounced = true;
+    for (http_server_connection* connection : m_connections)
+        connection->announceClose();
+}
+
 void http_listener::closeConnections()
 {
     // Copies the set, because a connection that closes removes itself from it.
--- a/fleet/http_listener.h
+++ b/fleet/http_listener.h
@@ -27,6 +27,9 @@
     // Closes the listening socket.
     void stopAccepting();
 
+    // Announces with the next response on each connection that it closes after it. Connections stay open until then.
+    void announceClose();
+
     // Closes idle connections, and the others after their current response.
     void closeConnections();
 
@@ -40,6 +43,7 @@
     std::shared_ptr<http_server_connection::hooks> m_hooks;
     caller_limits m_limits;
     std::unordered_set<http_server_connection*> m_connections;
+    bool m_isCloseAnnounced = false;
 };
 
 }
--- a/fleet/prompt_guard.cpp
+++ b/fleet/prompt_guard.cpp
@@ -2,7 +2,6 @@
 
 #include "fleet/event_log.h"
 #include "fleet/process_metrics.h"
-#include "fleet/request_relay.h"
 #include "fleet/steady_time.h"
 #include "serving/prompt_parts.h"
 
@@ -69,14 +68,8 @@
         if (!isAdopted && m_onQuarantine)
             m_onQuarantine(part);
     }
-    if (quarantined.empty())
-        return;
-    // Requests that end remove themselves.
-    const auto requests = m_requests;
-    for (const auto& [address, request] : requests) {
-        if (const auto relay = request.lock())
-            relay->onQuarantine();
-    }
+    if (!quarantined.empty() && m_checkRequests)
+        m_checkRequests();
 }
 
 void prompt_guard::onAnswer(const pool_id& pool, const std::vector<prompt_part_id>& parts)
@@ -97,14 +90,4 @@
     applyQuarantines();
 }
 
-void prompt_guard::addRequest(request_relay* address, std::weak_ptr<request_relay> relay)
-{
-    m_requests.emplace(address, std::move(relay));
-}
-
-void prompt_guard::removeRequest(request_relay* address)
-{
-    m_requests.erase(address);
-}
-
 }
--- a/fleet/prompt_guard.h
+++ b/fleet/prompt_guard.h
@@ -6,9 +6,7 @@
 #include "state/time.h"
 
 #include <functional>
-#include <memory>
 #include <optional>
-#include <unordered_map>
 #include <vector>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -17,7 +15,6 @@
 
 class event_log;
 class process_metrics;
-class request_relay;
 
 // Keeps requests with prompt parts that crash runners away from the runners of one entry: finds the crashes, decides on quarantines,
 // and ends the requests that a new quarantine concerns.
@@ -31,9 +28,8 @@
     // Called when this entry has quarantined a prompt part.
     void setQuarantineHandler(std::function<void(const prompt_part_evidence&)> handler) { m_onQuarantine = std::move(handler); }
 
-    // Requests with prompts register until they end, so that request_relay::onQuarantine() is called when a part is quarantined.
-    void addRequest(request_relay*, std::weak_ptr<request_relay>);
-    void removeRequest(request_relay*);
+    // Called after parts have been quarantined, to end the requests that have them.
+    void setRequestCheck(std::function<void()> check) { m_checkRequests = std::move(check); }
 
     // See prompt_quarantine.
     std::optional<duration> quarantineLeft(const pool_id&, const std::vector<prompt_part_id>&) const;
@@ -61,8 +57,8 @@
     prompt_quarantine m_quarantine;
     std::function<void()> m_onEvidence;
     std::function<void(const prompt_part_evidence&)> m_onQuarantine;
+    std::function<void()> m_checkRequests;
     bool m_isEvidenceScheduled = false;
-    std::unordered_map<request_relay*, std::weak_ptr<request_relay>> m_requests;
 };
 
 }
--- a/fleet/request_relay.cpp
+++ b/fleet/request_relay.cpp
@@ -119,6 +119,10 @@
     if (m_route->timeLimit > duration {})
         m_deadline = std::min(m_deadline, m_arrivedAt + m_route->timeLimit);
     m_context.retryBudgetOf(m_pool).onRequest(m_arrivedAt);
+    if (m_context.isTooLateFor(m_deadline, m_arrivedAt)) {
+        reject("entry is stopping", duration {});
+        return;
+    }
     if (const auto left = quarantineLeft()) {
         reject(quarantinedReason, *left);
         return;
@@ -131,13 +135,12 @@
     m_deadlineTimer.expires_after(m_deadline - m_arrivedAt);
     m_deadlineTimer.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
         if (!error)
-            self->onDeadline();
+            self->endAtTimeLimit("request deadline exceeded");
     });
     if (m_route->retrySemantics == retry_semantics::ResumableStream)
         m_attempt.events.resumeAfter(m_request.resumeAfterEvent);
     m_caller->setDisconnectHandler([self = shared_from_this()] { self->onCallerDisconnect(); });
-    if (!m_request.promptParts.empty())
-        m_context.promptGuard().addRequest(this, weak_from_this());
+    m_context.addRequest(this, weak_from_this());
     dispatchOrEnqueue();
 }
 
@@ -709,18 +712,23 @@
     }
 }
 
-void request_relay::onDeadline()
+void request_relay::onProcessEnd()
+{
+    endAtTimeLimit("entry ends");
+}
+
+void request_relay::endAtTimeLimit(const char* why)
 {
     if (m_isFinished)
         return;
     const bool isInFlight = abandonAttempt();
     if (m_isResponseStarted) {
         m_caller->abort();
-        finish("broken_off", 0, "request deadline exceeded");
+        finish("broken_off", 0, why);
     } else if (isInFlight || m_mayHaveRun) {
-        fail(504, "unknown", "request deadline exceeded");
+        fail(504, "unknown", why);
     } else {
-        reject("request deadline exceeded");
+        reject(why);
     }
 }
 
@@ -753,7 +761,7 @@
 {
     m_isFinished = true;
     abandonSilentAttempts();
-    m_context.promptGuard().removeRequest(this);
+    m_context.removeRequest(this);
     const duration total = steadyNow() - m_arrivedAt;
     m_context.log().write("request", { { "request", m_request.attemptId }, { "outcome", outcome }, { "status", static_cast<std::int64_t>(status) }, { "why", why }, { "route", m_route ? std::string_view(m_route->name) : std::string_view() }, { "runner", m_attempt.runner.value() }, { "total_ms", milliseconds(total) }, { "first_ms", milliseconds(m_timeToFirstEvent) }, { "longest_gap_ms", milliseconds(m_maxEventGap) }, { "events", static_cast<std::int64_t>(m_attempt.events.eventCount()) }, { "waiting", static_cast<std::int64_t>(m_pool.value().empty() ? 0 : m_context.queueOf(m_pool).size()) } });
     m_context.metrics().recordRequest(outcome, total);
--- a/fleet/request_relay.h
+++ b/fleet/request_relay.h
@@ -44,6 +44,10 @@
     // Called when a prompt part has been quarantined. Ends the request if it has the part and its answer has not begun.
     void onQuarantine();
 
+    // Called when the process is about to end. Ends the request with an answer that tells whether it may have run, if that is still
+    // possible.
+    void onProcessEnd();
+
     // Called when waiting is pointless because no slot will become free in time. Ends the request.
     void onNoFreeSlot();
 
@@ -101,7 +105,7 @@
     bool abandonAttempt();
     void leaveQueue();
     void scheduleBacklogCheck();
-    void onDeadline();
+    void endAtTimeLimit(const char* why);
     void onCallerDisconnect();
     void reject(const char* why);
     void reject(const char* why, duration retryAfter);
--- a/relay/http_server_connection.cpp
+++ b/relay/http_server_connection.cpp
@@ -85,6 +85,9 @@
     bool isKeepAlive = true;
     bool isClosingAfterWrite = false;
     bool isStopping = false;
+    bool isClosingAfterNextResponse = false;
+    // Whether the current response tells the client that the connection closes after it.
+    bool isCloseAnnounced = false;
     bool isHeadRequest = false;
     // A stream has begun and has not ended.
     bool isStreaming = false;
@@ -105,7 +108,7 @@
     bool canContinueStream(http_server_connection*);
     void closeMisused(http_server_connection*, const char* why);
     void close(http_server_connection*);
-    std::string head(int status, std::string_view fields) const;
+    std::string head(int status, std::string_view fields);
 };
 
 void http_server_connection::implementation::start(const std::shared_ptr<http_server_connection>& self)
@@ -249,13 +252,14 @@
     self->respond(status, "Content-Type: text/plain\r\n", why);
 }
 
-std::string http_server_connection::implementation::head(int status, std::string_view fields) const
+std::string http_server_connection::implementation::head(int status, std::string_view fields)
 {
     std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
     text += std::string_view(http::obsolete_reason(static_cast<http::status>(status)));
     text += "\r\n";
     text += fields;
-    if (!isKeepAlive || isStopping)
+    isCloseAnnounced = !isKeepAlive || isStopping || isClosingAfterNextResponse;
+    if (isCloseAnnounced)
         text += "Connection: close\r\n";
     return text;
 }
@@ -306,7 +310,7 @@
     onDisconnect = nullptr;
     if (currentPhase == phase::Closed)
         return;
-    if (!isKeepAlive || isStopping)
+    if (isCloseAnnounced || isStopping)
         isClosingAfterWrite = true;
     // onWritten() starts reading the next request once the whole response has been written.
     currentPhase = phase::Flushing;
@@ -429,6 +433,11 @@
     m_implementation->close(this);
 }
 
+void http_server_connection::announceClose()
+{
+    m_implementation->isClosingAfterNextResponse = true;
+}
+
 void http_server_connection::closeAfterResponse()
 {
     m_implementation->isStopping = true;
--- a/relay/http_server_connection.h
+++ b/relay/http_server_connection.h
@@ -47,6 +47,9 @@
     // Closes the connection in the middle of a response, so that the client does not take the response for complete.
     void abort();
 
+    // Announces with the next response that the connection closes after it. A connection that is idle stays open.
+    void announceClose();
+
     // Announces with the next response that the connection closes. Closes at once if no request is being read or served.
     void closeAfterResponse();
 
