Count retries in the budget's window from when they are sent

Cause, by reading: a retry was charged when it was decided on, but it may wait for a runner for seconds. Retries that waited arrive together with ones that were decided on after the first had left the window.

Fix: a retry is reserved when it is decided on and counts in the window from when it is sent. The reservation ends when the retry is given up.

Evidence: a new case of retry_budget_window in virtual time.

--- a/fleet/request_relay.cpp
+++ b/fleet/request_relay.cpp
@@ -283,6 +283,7 @@
     attempt.sentAt = now;
     attempt.events = std::move(m_attempt.events);
     m_attempt = std::move(attempt);
+    onRetrySent();
     m_context.runners().onAttemptStarted(runner, now);
     m_context.queueOf(m_pool).onDispatch(now);
     m_context.log().write("attempt", { { "request", m_request.attemptId }, { "runner", runner.value() }, { "load", static_cast<std::int64_t>(record->estimatedLoad(now)) }, { "own", static_cast<std::int64_t>(record->inFlight) }, { "waited_ms", milliseconds(now - m_arrivedAt) }, { "number", static_cast<std::int64_t>(m_triedRunners.size()) }, { "prompt_parts", describe(m_request.promptParts) }, { "configuration", static_cast<std::int64_t>(m_routes->configuration().version.value()) } });
@@ -477,7 +478,7 @@
     if (!canContinue)
         return;
     m_mayHaveRun = true;
-    m_context.retryBudgetOf(m_pool).recordRetry(now);
+    reserveRetry();
     m_silenceTimer.cancel();
     runner_attempt next;
     next.events = m_attempt.events;
@@ -575,6 +576,25 @@
     if (m_ticket)
         m_context.dequeue(m_pool, *m_ticket);
     m_ticket.reset();
+    giveUpRetry();
+}
+
+void request_relay::reserveRetry()
+{
+    m_hasReservedRetry = true;
+    m_context.retryBudgetOf(m_pool).reserveRetry();
+}
+
+void request_relay::onRetrySent()
+{
+    if (std::exchange(m_hasReservedRetry, false))
+        m_context.retryBudgetOf(m_pool).onRetrySent(steadyNow());
+}
+
+void request_relay::giveUpRetry()
+{
+    if (std::exchange(m_hasReservedRetry, false))
+        m_context.retryBudgetOf(m_pool).onRetryGivenUp();
 }
 
 void request_relay::onExchangeEnd(runner_exchange::result result)
@@ -692,7 +712,7 @@
     switch (action) {
     case failover_action::TryAnother:
         if (failure != attempt_failure::NotConnected)
-            m_context.retryBudgetOf(m_pool).recordRetry(now);
+            reserveRetry();
         dispatchOrEnqueue();
         return;
     case failover_action::RefuseNotRun:
--- a/fleet/request_relay.h
+++ b/fleet/request_relay.h
@@ -104,6 +104,10 @@
     // Ends the current attempt. Returns false if none is in flight.
     bool abandonAttempt();
     void leaveQueue();
+    void reserveRetry();
+    // Ends the reservation in the retry budget, if there is one.
+    void onRetrySent();
+    void giveUpRetry();
     void scheduleBacklogCheck();
     void endAtTimeLimit(const char* why);
     void onCallerDisconnect();
@@ -144,6 +148,8 @@
     std::vector<runner_id> m_triedRunners;
     std::uint32_t m_attemptsSent = 0;
     std::uint32_t m_attemptsNotRun = 0;
+    // Whether the next attempt is reserved in the retry budget.
+    bool m_hasReservedRetry = false;
     bool m_mayHaveRun = false;
     bool m_isResponseStarted = false;
     bool m_isFinished = false;
--- a/serving/retry_budget_share.cpp
+++ b/serving/retry_budget_share.cpp
@@ -33,11 +33,12 @@
     const double slackFraction = isNewEntry ? newEntrySlackFraction : usedSlackFraction / static_cast<double>(std::max<std::size_t>(recentEntries, 1));
     const double slack = m_settings.slack * slackFraction;
     const double allowed = m_settings.ratio * static_cast<double>(m_requests.size()) + slack;
-    return static_cast<double>(m_retries.size()) + 1 <= allowed;
+    return static_cast<double>(m_retries.size() + m_reservedRetries) + 1 <= allowed;
 }
 
-void retry_budget_share::recordRetry(time_point now)
+void retry_budget_share::onRetrySent(time_point now)
 {
+    --m_reservedRetries;
     m_retries.push_back(now);
 }
 
--- a/serving/retry_budget_share.h
+++ b/serving/retry_budget_share.h
@@ -2,7 +2,7 @@
 
 #include "state/time.h"
 
-#include <cstdint>
+#include <cstddef>
 #include <deque>
 
 namespace sardinelb {
@@ -27,7 +27,12 @@
     // Whether one more retry stays within this entry's share, given the most entries that were alive at once in the window.
     bool canRetry(std::size_t recentEntries, time_point now);
 
-    void recordRetry(time_point now);
+    // A retry has been decided on. It counts until it is sent or given up, however long it waits for a runner.
+    void reserveRetry() { ++m_reservedRetries; }
+
+    // End a reservation. A retry that is sent counts in the window from now on.
+    void onRetrySent(time_point now);
+    void onRetryGivenUp() { --m_reservedRetries; }
 
 private:
     void dropExpired(time_point now);
@@ -36,6 +41,7 @@
     time_point m_startedAt;
     std::deque<time_point> m_requests;
     std::deque<time_point> m_retries;
+    std::size_t m_reservedRetries = 0;
 };
 
 }
--- a/tests/fleet/serving_decisions_test.cpp
+++ b/tests/fleet/serving_decisions_test.cpp
@@ -105,7 +105,8 @@
             entries[i].onRequest(at(now));
             requests.push_back(now);
             if (entries[i].canRetry(entries.size(), at(now))) {
-                entries[i].recordRetry(at(now));
+                entries[i].reserveRetry();
+                entries[i].onRetrySent(at(now));
                 retries.push_back(now);
             }
         }
@@ -134,7 +135,8 @@
             entries[i].onRequest(at(now));
             ++requests;
             while (entries[i].canRetry(counts[i].value(), at(now))) {
-                entries[i].recordRetry(at(now));
+                entries[i].reserveRetry();
+                entries[i].onRetrySent(at(now));
                 ++retries;
             }
         }
@@ -142,6 +144,45 @@
     EXPECT_LE(static_cast<double>(retries), settings.ratio * static_cast<double>(requests) + settings.slack);
 }
 
+// Guards against counting retries when they are decided on: those that wait for a runner are sent together with later ones.
+TEST_F(retry_budget_window, oneEntry_retriesWaitForARunner_sentOnesStayWithinBudget)
+{
+    const retry_budget_share::settings settings { 0.2, 88, seconds(10) };
+    retry_budget_share entry(settings, at(seconds(-60)));
+    std::vector<milliseconds> sent;
+    std::vector<milliseconds> requests;
+    std::size_t waiting = 0;
+    for (milliseconds now { 0 }; now < seconds(40); now += milliseconds(10)) {
+        entry.onRequest(at(now));
+        requests.push_back(now);
+        while (entry.canRetry(1, at(now))) {
+            entry.reserveRetry();
+            ++waiting;
+        }
+        // Runners are busy for all but 2.1 s of each 20 s.
+        const milliseconds phase = now % seconds(20);
+        for (const bool isFree = phase >= milliseconds(9900) && phase < seconds(12); isFree && waiting > 0; --waiting) {
+            entry.onRetrySent(at(now));
+            sent.push_back(now);
+        }
+        const auto inWindow = [&](const std::vector<milliseconds>& times) {
+            return static_cast<double>(std::count_if(times.begin(), times.end(), [&](milliseconds time) { return time > now - seconds(10); }));
+        };
+        ASSERT_LE(inWindow(sent), settings.ratio * inWindow(requests) + settings.slack) << now.count();
+    }
+    EXPECT_GT(sent.size(), 500U);
+}
+
+TEST_F(retry_budget_window, retryGivenUp_budgetIsFreeAgain)
+{
+    retry_budget_share entry({ 0, 2, seconds(10) }, at(seconds(-60)));
+    ASSERT_TRUE(entry.canRetry(1, at(seconds(0))));
+    entry.reserveRetry();
+    EXPECT_FALSE(entry.canRetry(1, at(seconds(30))));
+    entry.onRetryGivenUp();
+    EXPECT_TRUE(entry.canRetry(1, at(seconds(30))));
+}
+
 class recent_maximum_of_window : public testing::Test { };
 
 TEST_F(recent_maximum_of_window, valueFalls_maximum_fallsAfterTheWindow)
--- a/tests/process/planned_stops.py
+++ b/tests/process/planned_stops.py
@@ -98,6 +98,10 @@
                 writer.write(response(503, "Service Unavailable", {"Attempt-Id": attempt, "Not-Executed": "1"}, b""))
                 return
             run = self.soak.begin_run(attempt)
+            if self.soak.is_failing():
+                run["end"] = time.monotonic()
+                writer.transport.abort()
+                return
             self.running += 1
             try:
                 await asyncio.sleep(float(request.field("X-Work-S") or "0.05"))
@@ -204,8 +208,10 @@
 
 
 class Soak:
-    def __init__(self, seed, seconds, folder, has_slow_clients):
+    def __init__(self, seed, seconds, folder, has_slow_clients, has_failing_runners):
         self.seed = seed
+        self.has_failing_runners = has_failing_runners
+        self.is_failing_phase = False
         self.excused = {}
         self.has_slow_clients = has_slow_clients
         self.seconds = seconds
@@ -219,6 +225,11 @@
         # By entry: when each SIGTERM was sent.
         self.stops = {}
         self.own_ends = []
+        self.clients = CLIENTS
+
+    def is_failing(self):
+        """Whether a runner resets the connection of the next request. Phases of this begin and end as the stops do."""
+        return self.has_failing_runners and self.is_failing_phase and random.random() < 0.6
 
     def begin_run(self, attempt):
         run = {"begin": time.monotonic(), "end": None}
@@ -249,6 +260,7 @@
             random.shuffle(entries)
             # A sound runner that is short of memory preempts its newest stream.
             self.group.preemption_s = random.choice([0, 0.8, 1.4, 1.8])
+            self.is_failing_phase = not self.is_failing_phase
             stops = [asyncio.ensure_future(self.stop(entries[0]))]
             if random.random() < 0.4:
                 await asyncio.sleep(random.uniform(0.5, 4))
@@ -278,6 +290,8 @@
             run = {"begin": time.monotonic(), "end": None, "is_run": group.runs.get(attempt, 0)}
             self.runs.setdefault(attempt, []).append(run)
             try:
+                if self.is_failing():
+                    asyncio.get_running_loop().call_later(random.uniform(0.1, 0.8), writer.transport.abort)
                 await write_stream(rank, request, reader, writer)
             finally:
                 run["end"] = time.monotonic()
@@ -306,7 +320,7 @@
             self.installation.run_in_background(self.front.watch())
             await asyncio.sleep(BOUNDS["stable_window_ms"] / 1000)
             end = time.monotonic() + self.seconds
-            clients = [Client(self, number) for number in range(CLIENTS)]
+            clients = [Client(self, number) for number in range(self.clients)]
             await asyncio.gather(self.disturb(end), *(client.run(end) for client in clients))
 
     def stop_before(self, request):
@@ -332,7 +346,9 @@
             late_s = request["end"] - request["sent"]
             is_crossing = not runs and late_s <= BOUNDS["loss_slack_ms"] / 1000
             is_over_deadline = request["end"] - request["begun"] >= request["timeout"]
-            if is_crossing:
+            if self.has_failing_runners and runs:
+                self.excused["runner broke off"] = self.excused.get("runner broke off", 0) + 1
+            elif is_crossing:
                 self.excused["crossing"] += 1
             elif request["outcome"] == "closed" and is_over_deadline:
                 self.excused["over deadline"] += 1
@@ -390,10 +406,11 @@
     return root
 
 
-def play(seed, seconds, keep, has_slow_clients):
+def play(seed, options):
     """Plays one run. Returns whether all rules held."""
     folder = tempfile.mkdtemp(prefix="sardinelb-record-")
-    soak = Soak(seed, seconds, folder, has_slow_clients)
+    soak = Soak(seed, options.seconds, folder, not options.fast_clients, options.failing_runners)
+    soak.clients = options.clients
     # The ports do not depend on the seed, so that two runs with one seed can be played beside each other.
     random.seed(seed)
     asyncio.run(soak.play())
@@ -408,8 +425,8 @@
     for request in (lost + refused + malformed)[:12]:
         print("  " + soak.describe(request))
     is_held = not (lost or twice or refused or malformed or soak.own_ends) and budget <= 1
-    if not is_held and keep:
-        shutil.move(folder, os.path.join(keep, f"seed-{seed}"))
+    if not is_held and options.keep:
+        shutil.move(folder, os.path.join(options.keep, f"seed-{seed}"))
     else:
         shutil.rmtree(folder)
     return is_held
@@ -422,11 +439,13 @@
     parser.add_argument("--seed", type=int, default=1, help="the first seed")
     parser.add_argument("--seeds", type=int, default=1, help="how many, one after the other")
     parser.add_argument("--fast-clients", action="store_true", help="all clients send their requests at once")
+    parser.add_argument("--failing-runners", action="store_true", help="runners reset most connections during every other stop; requests cut for it are no loss")
+    parser.add_argument("--clients", type=int, default=CLIENTS)
     parser.add_argument("--keep", help="a folder for the records of runs that broke a rule")
     options = parser.parse_args()
     stand_ins.ROOT = make_root(options.build)
     try:
-        held = [play(seed, options.seconds, options.keep, not options.fast_clients) for seed in range(options.seed, options.seed + options.seeds)]
+        held = [play(seed, options) for seed in range(options.seed, options.seed + options.seeds)]
     except CannotRun as error:
         print(f"could not run: {error}")
         sys.exit(2)
