Test that a head broken off at any byte is no answer

It does not happen here: both interfaces take a head that is broken off at any byte for a broken answer. The new cases of runner_exchange_test and runner_client_test pass on the code as it was; they guard it.

--- a/tests/error/runner_client_test.cpp
+++ b/tests/error/runner_client_test.cpp
@@ -135,6 +135,24 @@
     EXPECT_EQ(events.read(tokens), 1U);
 }
 
+// Guards against taking a head that a service broke off for that of a whole answer with an empty body.
+TEST_F(runner_client_test, headBrokenOffAtAnyByteIsBroken)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n";
+    for (std::size_t length = 0; length < head.size(); ++length) {
+        outcomes.clear();
+        EXPECT_EQ(callRespondingWith(head.substr(0, length), pool_kind::Service), "failed broken") << head.substr(0, length);
+    }
+}
+
+TEST_F(runner_client_test, headOfAStreamBrokenOffAtAnyByteIsBroken)
+{
+    for (std::size_t length = 0; length <= streamHead.size(); ++length) {
+        outcomes.clear();
+        EXPECT_EQ(callRespondingWith(streamHead.substr(0, length)), "failed broken") << streamHead.substr(0, length);
+    }
+}
+
 // Guards against a trailer field that is too long for the parser: it throws, and the call would end without an outcome.
 TEST_F(runner_client_test, oversizeTrailerOfAServiceIsBroken)
 {
--- a/tests/fleet/runner_exchange_test.cpp
+++ b/tests/fleet/runner_exchange_test.cpp
@@ -251,4 +251,21 @@
     EXPECT_EQ(received.body, "ok");
 }
 
+// Guards against taking a head that a runner broke off for that of a whole answer with an empty or a short body.
+TEST_F(exchange_with_runner, head_brokenOffAtAnyByte_broken)
+{
+    const std::vector<std::string> heads {
+        "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nContent-Length: 2\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\n\r\n",
+        "HTTP/1.0 200 OK\r\nServer-Seal: s.1\r\n\r\n",
+    };
+    for (const std::string& head : heads) {
+        for (std::size_t length = 0; length < head.size(); ++length) {
+            const outcome received = exchange(head.substr(0, length));
+            EXPECT_EQ(received.result, runner_exchange::result::Broken) << head.substr(0, length);
+            EXPECT_EQ(received.heads, 0U) << head.substr(0, length);
+        }
+    }
+}
+
 }
