Split the request relay by its three concerns

Arrival, queueing, attempts and the end of a request stay; the reading of responses moves to request_relay_response.cpp, failures and silence to request_relay_failover.cpp. The name of a failure moves to serving/.

--- a/fleet/request_relay.h
+++ b/fleet/request_relay.h
@@ -29,7 +29,8 @@
 struct traffic_route;
 
 // Relays one caller's request: queues it until a runner has a free slot, sends it, retries it at another runner after a failure
-// if that is safe, and forwards the response. Decisions are made by the modules of serving/.
+// if that is safe, and forwards the response. Decisions are made by the modules of serving/. The reading of responses is in
+// request_relay_response.cpp, what follows failures and silence in request_relay_failover.cpp.
 class request_relay : public std::enable_shared_from_this<request_relay> {
 public:
     request_relay(entry_context&, std::shared_ptr<http_server_connection>, proxied_request);
@@ -69,6 +70,7 @@
     void onExchangeEnd(runner_exchange::result);
     // Counts the buffered part of the response. Returns false if it is too long to buffer.
     bool updateBufferedBytes();
+    static bool isEventTooLong(const runner_attempt&);
     // Whether the stream of a response that is complete by its framing ended inside an event or before the first one.
     static bool hasStreamEndedEarly(const runner_attempt&, runner_exchange::result);
     void onResponseComplete();
--- a/fleet/steady_time.h
+++ b/fleet/steady_time.h
@@ -3,6 +3,7 @@
 #include "state/time.h"
 
 #include <chrono>
+#include <cstdint>
 
 namespace sardinelb {
 
@@ -12,4 +13,10 @@
     return time_point(std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
 }
 
+// For log lines.
+inline std::int64_t wholeMilliseconds(duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
 }
--- a/serving/attempt_failure.h
+++ b/serving/attempt_failure.h
@@ -16,6 +16,9 @@
     WrongRunner,
 };
 
+// For log lines.
+const char* nameOf(attempt_failure);
+
 // Whether it is certain that the attempt did not run the request.
 constexpr bool wasNotRun(attempt_failure failure)
 {
