Read a runner's report one at a time

The record shows ranks that answer each order, and a coordinator that never learns of it: all reads of reports time out.

Cause: during a switch an agent began a read every 25 ms, also while earlier ones were unanswered, and the coordinator polled each silent rank as often. A runner that takes longer than that gets up to ten reads at once from its agent, and as many from the coordinator, so that each takes longer than the 250 ms an agent waits. No read succeeds any more, and the group stands.

Fix: an agent and a coordinator have at most one read in flight for a runner. After an order, the agent reads again when the read in progress ends, since that one may show the state before the order.

--- a/fleet/agent_process.cpp
+++ b/fleet/agent_process.cpp
@@ -21,6 +21,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace sardinelb {
@@ -106,6 +107,12 @@
     std::uint32_t expertListsDue = 0;
     map_order_executor orderExecutor;
     bool isRunnerCopying = false;
+    // A runner that answers slowly gets one report request at a time; more would make it slower still.
+    bool isReadingReport = false;
+    // Whether to read the report again when the read in progress ends, because it may show the state before an order.
+    bool isReportOutdated = false;
+    // Ranks whose report the coordinator is reading.
+    std::set<rank_id> polledRanks;
     // Whether the runner's last answer of each kind could be read. An unreadable one counts as none.
     std::map<std::string, bool> readableAnswers;
     // When the runner first reported the map that it currently has prepared.
@@ -203,7 +210,16 @@
 
 void agent_process::implementation::readRunner()
 {
-    runner.readReport(options.runnerAddress, [this](std::optional<platform::runner_report> report) { onRunnerReport(std::move(report)); });
+    if (isReadingReport)
+        return;
+    isReadingReport = true;
+    isReportOutdated = false;
+    runner.readReport(options.runnerAddress, [this](std::optional<platform::runner_report> report) {
+        isReadingReport = false;
+        onRunnerReport(std::move(report));
+        if (isReportOutdated)
+            readRunner();
+    });
 }
 
 void agent_process::implementation::removeSilent()
@@ -271,6 +287,7 @@
         const outcome answer = isAccepted ? outcome::Accepted : result == map_order_result::Refused ? outcome::Refused
                                                                                                     : outcome::Unanswered;
         socket->send(encode(delegated_result_message { id, answer }), from);
+        isReportOutdated = true;
         readRunner();
     });
 }
@@ -527,7 +544,10 @@
 void agent_process::implementation::pollSilentRanks()
 {
     for (const rank_id rank : coordinator->silentRanks(steadyNow())) {
-        runner.readReport(addressOf(rank), [this](std::optional<platform::runner_report> report) {
+        if (!polledRanks.insert(rank).second)
+            continue;
+        runner.readReport(addressOf(rank), [this, rank](std::optional<platform::runner_report> report) {
+            polledRanks.erase(rank);
             if (!report || !coordinator || report->load.group != localReport->group)
                 return;
             coordinator->onReport({ report->load.group, report->groupSize, report->status, report->load.running, addressOf(report->status.rank), {} }, steadyNow());
