Read on after a resumed silent stream has filled its caller's backlog

Found when the whole change was read once more. Where a silent stream went on with more than 256 KiB at once, its caller got nothing further: reading had been paused for the backlog, and the timer that resumes it was replaced by the one for silence right after. The stream ended without its last events.

Fix: the timer for silence starts before the events are forwarded, as elsewhere, so that the one for the backlog replaces it.

Evidence: entry_silent_stream_test, silentRunnerGoesOnWithALongEvent, failed before.

--- a/fleet/request_relay_failover.cpp
+++ b/fleet/request_relay_failover.cpp
@@ -103,8 +103,9 @@
     if (events.empty())
         return;
     resumeSilentAttempt(silent);
+    // Before the events are forwarded, because that may use the timer for a backlog instead.
+    startSilenceTimer(steadyNow());
     forwardEvents(events);
-    startSilenceTimer(m_attempt.lastEventAt);
 }
 
 void request_relay::onSilentEnd(std::uint32_t number, runner_exchange::result result)
--- a/tests/fleet/entry_silent_stream_test.cpp
+++ b/tests/fleet/entry_silent_stream_test.cpp
@@ -129,6 +129,21 @@
     EXPECT_EQ(cancelledRequests(), 1U);
 }
 
+// Guards against reading no further after a resumed stream has sent more at once than is buffered for its caller.
+TEST_F(entry_silent_stream, silentRunnerGoesOnWithALongEvent_streamComplete)
+{
+    const auto goesOn = [this](const connection& caller, const http_request_message&) {
+        caller->beginStream(200, streamHead);
+        caller->sendChunk("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+        runAfter(milliseconds(1300), [caller] { caller->sendChunk("id: 3\ndata: " + std::string(400000, 'c') + "\n\n"); });
+        runAfter(milliseconds(1400), [caller] { endStream(caller, "id: 4\ndata: d\n\n"); });
+    };
+    start(goesOn, resumesAfter(milliseconds(6000)));
+    const caller_result result = callStream();
+    EXPECT_TRUE(result.body.ends_with("id: 4\ndata: d\n\n"));
+    EXPECT_EQ(result.exchangeResult, runner_exchange::result::Complete);
+}
+
 // Guards against ending a stream although the other runner may continue it, when the silent one breaks off.
 TEST_F(entry_silent_stream, silentRunnerBreaksOff_otherOneContinues)
 {
