--- /dev/null
+++ b/serving/exclusion_reason.h
@@ -0,0 +1,25 @@
+#pragma once
+
+namespace sardinelb {
+
+// Why an entry sends a runner no request now. The first reason that applies counts, in this order.
+enum class exclusion_reason {
+    // The runner can be used.
+    None,
+    // The process is new, and its agent has not reported yet.
+    AwaitingFirstReport,
+    Draining,
+    // Another process listens on the runner's address.
+    Replaced,
+    // Attempts at the runner failed lately.
+    BackingOff,
+    // This entry has used its part of what the runner takes from all entries.
+    RateLimited,
+    // A rank of the runner's group is missing, so that no pass can run.
+    GroupNotOpen,
+};
+
+// For log lines and explanations.
+const char* nameOf(exclusion_reason);
+
+}
--- a/serving/runner_directory.cpp
+++ b/serving/runner_directory.cpp
@@ -207,16 +207,26 @@
     return hasAgent && !record.load && now - record.listedAt < firstReportTimeout;
 }
 
-bool runner_directory::isUsable(const runner_record& record, time_point now) const
+exclusion_reason runner_directory::exclusionOf(const runner_record& record, time_point now) const
 {
     // After a power loss, the list may still name processes that are gone while the groups of the new ones are forming.
     if (isAwaitingFirstReport(record, now))
-        return false;
-    if (record.listing.isDraining || record.isReplaced || now < record.backoffUntil)
-        return false;
+        return exclusion_reason::AwaitingFirstReport;
+    if (record.listing.isDraining)
+        return exclusion_reason::Draining;
+    if (record.isReplaced)
+        return exclusion_reason::Replaced;
+    if (now < record.backoffUntil)
+        return exclusion_reason::BackingOff;
     if (record.limit.sendable(now) == 0U)
-        return false;
-    return !record.load || record.load->isGroupOpen || now - record.load->at > maxBackoff;
+        return exclusion_reason::RateLimited;
+    const bool isGroupClosed = record.load && !record.load->isGroupOpen && now - record.load->at <= maxBackoff;
+    return isGroupClosed ? exclusion_reason::GroupNotOpen : exclusion_reason::None;
+}
+
+bool runner_directory::isUsable(const runner_record& record, time_point now) const
+{
+    return exclusionOf(record, now) == exclusion_reason::None;
 }
 
 double runner_directory::score(const runner_record& record, time_point now) const
--- a/serving/runner_directory.h
+++ b/serving/runner_directory.h
@@ -2,6 +2,7 @@
 
 #include "serving/attempt_failure.h"
 #include "serving/engine_profile.h"
+#include "serving/exclusion_reason.h"
 #include "serving/group_limit.h"
 #include "serving/listed_runner.h"
 #include "serving/rank_load.h"
@@ -98,6 +99,9 @@
     // Records the time between two events of a stream from the runner.
     void onEventGap(const runner_id&, duration gap, duration objective, time_point now);
 
+    // Why the runner gets no request now, apart from its load.
+    exclusion_reason exclusionOf(const runner_record&, time_point now) const;
+
     const runner_record* find(const runner_id&) const;
     const std::unordered_map<runner_id, runner_record>& runners() const { return m_runners; }
 
