Do not take a stream for complete whose runner's process has ended with it

Change: the entry probes the runner's address after such an end; if nothing listens there, the response counts as broken off.

--- a/fleet/request_relay.h
+++ b/fleet/request_relay.h
@@ -73,6 +73,10 @@
     static bool isEventTooLong(const runner_attempt&);
     // Whether the stream of a response that is complete by its framing ended inside an event or before the first one.
     static bool hasStreamEndedEarly(const runner_attempt&, runner_exchange::result);
+    // Completes a response without a length or chunks, which has ended with its connection, unless its runner's process has ended, too:
+    // then the rest of the response may be missing. A process that is leaving has finished its responses.
+    void confirmUnframedEnd();
+    void checkRunnerAfterUnframedEnd();
     void onResponseComplete();
     void onAttemptFailed(attempt_failure, const char* why);
     // Forgets a response that is not forwarded, and frees what is buffered of it.
--- a/fleet/request_relay_response.cpp
+++ b/fleet/request_relay_response.cpp
@@ -27,6 +27,9 @@
 constexpr std::size_t maxEventBytes = 1048576;
 constexpr std::size_t maxBufferedResponseBytes = 33554432;
 
+// A process that is killed may close its connections shortly before its listening socket.
+constexpr std::chrono::milliseconds processEndTime { 20 };
+
 constexpr int firstServerErrorStatus = 500;
 
 }
@@ -169,10 +172,40 @@
         onAttemptFailed(attempt_failure::NotConnected, "connection to runner failed");
     else if (result == runner_exchange::result::Broken || hasStreamEndedEarly(m_attempt, result))
         onAttemptFailed(attempt_failure::OutcomeUnknown, "response ended early or is malformed");
+    else if (result == runner_exchange::result::EndedByClose)
+        confirmUnframedEnd();
     else
         onResponseComplete();
 }
 
+void request_relay::confirmUnframedEnd()
+{
+    m_silenceTimer.expires_after(processEndTime);
+    m_silenceTimer.async_wait([self = shared_from_this(), number = m_attempt.number](const boost::system::error_code& error) {
+        if (!error && self->isCurrent(number) && self->m_attempt.exchange)
+            self->checkRunnerAfterUnframedEnd();
+    });
+}
+
+void request_relay::checkRunnerAfterUnframedEnd()
+{
+    const runner_record* record = m_context.runners().find(m_attempt.runner);
+    const bool isSameProcess = record && processOf(record->listing) == m_attempt.process;
+    if (!isSameProcess || record->isLeaving || record->listing.isDraining) {
+        onResponseComplete();
+        return;
+    }
+    // Without prompt parts, because an answer that has begun proves them harmless.
+    m_context.promptGuard().onAttemptBroken(record->listing, {}, [self = shared_from_this(), number = m_attempt.number](bool hasEnded) {
+        if (self->m_isFinished || !self->isCurrent(number) || !self->m_attempt.exchange)
+            return;
+        if (hasEnded)
+            self->onAttemptFailed(attempt_failure::OutcomeUnknown, "runner ended together with a response of unknown length");
+        else
+            self->onResponseComplete();
+    });
+}
+
 bool request_relay::hasStreamEndedEarly(const runner_attempt& attempt, runner_exchange::result result)
 {
     if (!attempt.isRelayingStream)
