Confirm the end of unframed responses also around silence and hand-over

Cause: found in review. While it was checked whether the runner had ended, a silence timer that had already expired could hand the finished attempt to another runner and lose its end; a silent attempt that ended with its connection cancelled the attempt that worked; a runner known to have started again counted as alive; the check wrote runner_crashed lines.

Change: an attempt whose end is being checked is marked, and the silence paths leave it alone; a silent attempt is checked before it replaces the current one; another process at the address counts as ended; the check records no evidence.

Measured: entry_unframed, entry_crash, entry_resumed_stream, entry_silent_stream, runner_signals and prompt_quarantine tests pass. No test covers the silence paths.

--- a/fleet/prompt_guard.cpp
+++ b/fleet/prompt_guard.cpp
@@ -33,6 +33,11 @@
     m_detector.onAttemptBroken(runner, parts, std::move(onResult));
 }
 
+void prompt_guard::checkRunner(const listed_runner& runner, crash_detector::receiver onResult)
+{
+    m_detector.onAttemptBroken(runner, {}, std::move(onResult));
+}
+
 std::vector<prompt_part_evidence> prompt_guard::evidence() const
 {
     return m_quarantine.evidence(steadyNow());
@@ -40,6 +45,8 @@
 
 void prompt_guard::onCrash(const runner_crash& crash)
 {
+    if (crash.promptParts.empty())
+        return;
     m_log.write("runner_crashed", { { "runner", crash.runner.value() }, { "pool", crash.pool.value() }, { "prompt_parts", describe(crash.promptParts) } });
     m_metrics.count("runner_crashed");
     m_quarantine.onCrash(crash, steadyNow());
--- a/fleet/prompt_guard.h
+++ b/fleet/prompt_guard.h
@@ -40,6 +40,9 @@
     // The connection to a runner broke before an answer began. The receiver learns whether the runner has ended.
     void onAttemptBroken(const listed_runner&, const std::vector<prompt_part_id>&, crash_detector::receiver);
 
+    // The receiver learns whether the runner's process has ended. Nothing is held against a prompt.
+    void checkRunner(const listed_runner&, crash_detector::receiver);
+
     // Evidence for the other entries, and from them.
     std::vector<prompt_part_evidence> evidence() const;
     void onEvidence(const std::vector<prompt_part_evidence>&);
--- a/fleet/request_relay.h
+++ b/fleet/request_relay.h
@@ -77,6 +77,8 @@
     // then the rest of the response may be missing. A process that is leaving has finished its responses.
     void confirmUnframedEnd();
     void checkRunnerAfterUnframedEnd();
+    bool isEndUnconfirmed(std::uint32_t number) const;
+    void onUnframedEndChecked(bool hasRunnerEnded);
     void onResponseComplete();
     void onAttemptFailed(attempt_failure, const char* why);
     // Forgets a response that is not forwarded, and frees what is buffered of it.
--- a/fleet/request_relay_failover.cpp
+++ b/fleet/request_relay_failover.cpp
@@ -25,7 +25,7 @@
         return;
     m_silenceTimer.expires_after(since + streamSilenceTimeout - steadyNow());
     m_silenceTimer.async_wait([self = shared_from_this(), number = m_attempt.number](const boost::system::error_code& error) {
-        if (error || !self->isCurrent(number) || !self->m_attempt.exchange || !self->m_attempt.isRelayingStream)
+        if (error || !self->isCurrent(number) || !self->m_attempt.exchange || !self->m_attempt.isRelayingStream || self->m_attempt.isEndUnconfirmed)
             return;
         if (self->isSilent())
             self->onSilence();
@@ -50,7 +50,7 @@
         return;
     }
     m_context.promptGuard().onAttemptBroken(record->listing, m_request.promptParts, [self = shared_from_this(), number = m_attempt.number](bool hasEnded) {
-        if (!self->isCurrent(number) || !self->m_attempt.exchange || !self->isSilent())
+        if (!self->isCurrent(number) || !self->m_attempt.exchange || self->m_attempt.isEndUnconfirmed || !self->isSilent())
             return;
         if (hasEnded)
             self->onSilentRunnerEnded();
@@ -117,8 +117,33 @@
         abandonSilentAttempt(silent, "response ended early or is malformed");
         return;
     }
-    resumeSilentAttempt(silent);
-    onExchangeEnd(result);
+    if (result != runner_exchange::result::EndedByClose) {
+        resumeSilentAttempt(silent);
+        onExchangeEnd(result);
+        return;
+    }
+    const runner_record* record = m_context.runners().find(silent->runner);
+    if (!record || processOf(record->listing) != silent->process) {
+        abandonSilentAttempt(silent, "runner ended together with a response of unknown length");
+        return;
+    }
+    silent->isEndUnconfirmed = true;
+    m_context.promptGuard().checkRunner(record->listing, [self = shared_from_this(), number](bool hasEnded) {
+        if (self->isEndUnconfirmed(number)) {
+            // It has become the current attempt meanwhile, because no other runner could continue the stream.
+            self->onUnframedEndChecked(hasEnded);
+            return;
+        }
+        const auto ended = self->findSilentAttempt(number);
+        if (ended == self->m_silentAttempts.end())
+            return;
+        if (hasEnded) {
+            self->abandonSilentAttempt(ended, "runner ended together with a response of unknown length");
+            return;
+        }
+        self->resumeSilentAttempt(ended);
+        self->onResponseComplete();
+    });
 }
 
 void request_relay::resumeSilentAttempt(std::vector<runner_attempt>::iterator silent)
--- a/fleet/request_relay_response.cpp
+++ b/fleet/request_relay_response.cpp
@@ -12,6 +12,7 @@
 #include "serving/traffic_route.h"
 
 #include <algorithm>
+#include <memory>
 
 namespace sardinelb {
 
@@ -180,32 +181,49 @@
 
 void request_relay::confirmUnframedEnd()
 {
-    m_silenceTimer.expires_after(processEndTime);
-    m_silenceTimer.async_wait([self = shared_from_this(), number = m_attempt.number](const boost::system::error_code& error) {
-        if (!error && self->isCurrent(number) && self->m_attempt.exchange)
+    m_silenceTimer.cancel();
+    m_attempt.isEndUnconfirmed = true;
+    const auto timer = std::make_shared<boost::asio::steady_timer>(m_context.executor(), processEndTime);
+    timer->async_wait([self = shared_from_this(), timer, number = m_attempt.number](const boost::system::error_code& error) {
+        if (!error && self->isEndUnconfirmed(number))
             self->checkRunnerAfterUnframedEnd();
     });
 }
 
+bool request_relay::isEndUnconfirmed(std::uint32_t number) const
+{
+    return !m_isFinished && isCurrent(number) && m_attempt.exchange && m_attempt.isEndUnconfirmed;
+}
+
 void request_relay::checkRunnerAfterUnframedEnd()
 {
+    if (m_attempt.head->isLeaving) {
+        onResponseComplete();
+        return;
+    }
     const runner_record* record = m_context.runners().find(m_attempt.runner);
-    const bool isSameProcess = record && processOf(record->listing) == m_attempt.process;
-    if (!isSameProcess || record->isLeaving || record->listing.isDraining) {
+    if (record && processOf(record->listing) != m_attempt.process) {
+        onUnframedEndChecked(true);
+        return;
+    }
+    if (!record || record->isLeaving || record->listing.isDraining) {
         onResponseComplete();
         return;
     }
-    // Without prompt parts, because an answer that has begun proves them harmless.
-    m_context.promptGuard().onAttemptBroken(record->listing, {}, [self = shared_from_this(), number = m_attempt.number](bool hasEnded) {
-        if (self->m_isFinished || !self->isCurrent(number) || !self->m_attempt.exchange)
-            return;
-        if (hasEnded)
-            self->onAttemptFailed(attempt_failure::OutcomeUnknown, "runner ended together with a response of unknown length");
-        else
-            self->onResponseComplete();
+    m_context.promptGuard().checkRunner(record->listing, [self = shared_from_this(), number = m_attempt.number](bool hasEnded) {
+        if (self->isEndUnconfirmed(number))
+            self->onUnframedEndChecked(hasEnded);
     });
 }
 
+void request_relay::onUnframedEndChecked(bool hasRunnerEnded)
+{
+    if (hasRunnerEnded)
+        onAttemptFailed(attempt_failure::OutcomeUnknown, "runner ended together with a response of unknown length");
+    else
+        onResponseComplete();
+}
+
 bool request_relay::hasStreamEndedEarly(const runner_attempt& attempt, runner_exchange::result result)
 {
     if (!attempt.isRelayingStream)
--- a/fleet/runner_attempt.h
+++ b/fleet/runner_attempt.h
@@ -30,6 +30,8 @@
     // Also knows the last event that earlier attempts have sent to the caller.
     event_splitter events;
     bool isRelayingStream = false;
+    // The connection has ended, and it is being checked whether the response is whole.
+    bool isEndUnconfirmed = false;
     bool hasReceivedEvent = false;
     // Whether the attempt has got past the beginning of its answer.
     bool hasAnswered = false;
--- a/tests/fleet/runner_signals_test.cpp
+++ b/tests/fleet/runner_signals_test.cpp
@@ -41,7 +41,7 @@
 {
     EXPECT_TRUE(headWith(200, { { "Server-Leaving", "1" } }).isLeaving);
     EXPECT_TRUE(headWith(503, { { "server-leaving", "1" } }).isLeaving);
-    for (const char* value : { "0", "", "true", "2" })
+    for (const char* value : { "0", "", "true", "2", "11" })
         EXPECT_FALSE(headWith(200, { { "Server-Leaving", value } }).isLeaving) << value;
 }
 
