--- a/fleet/request_relay_response.cpp
+++ b/fleet/request_relay_response.cpp
@@ -12,6 +12,7 @@
 #include "serving/traffic_route.h"
 
 #include <algorithm>
+#include <memory>
 
 namespace sardinelb {
 
@@ -27,6 +28,9 @@
 constexpr std::size_t maxEventBytes = 1048576;
 constexpr std::size_t maxBufferedResponseBytes = 33554432;
 
+// A process that is killed may close its connections shortly before its listening socket.
+constexpr std::chrono::milliseconds processEndTime { 20 };
+
 constexpr int firstServerErrorStatus = 500;
 
 }
@@ -53,8 +57,10 @@
     const auto rejection = checkResponseHead(*m_attempt.head, expected);
     if (rejection || m_attempt.head->status >= firstServerErrorStatus)
         logUnexpectedHead();
-    if (isFromAddressedRunner(*m_attempt.head, expected))
+    if (isFromAddressedRunner(*m_attempt.head, expected)) {
         m_context.onNamedLimit(m_attempt.runner, m_attempt.head->requestsPerSecond);
+        m_context.onRunnerSignals(m_attempt.runner, m_attempt.process, *m_attempt.head);
+    }
     if (rejection) {
         onAttemptFailed(rejection->failure, rejection->reason);
         return;
@@ -167,6 +173,53 @@
         onAttemptFailed(attempt_failure::NotConnected, "connection to runner failed");
     else if (result == runner_exchange::result::Broken || hasStreamEndedEarly(m_attempt, result))
         onAttemptFailed(attempt_failure::OutcomeUnknown, "response ended early or is malformed");
+    else if (result == runner_exchange::result::EndedByClose)
+        confirmUnframedEnd();
+    else
+        onResponseComplete();
+}
+
+void request_relay::confirmUnframedEnd()
+{
+    m_silenceTimer.cancel();
+    m_attempt.isEndUnconfirmed = true;
+    const auto timer = std::make_shared<boost::asio::steady_timer>(m_context.executor(), processEndTime);
+    timer->async_wait([self = shared_from_this(), timer, number = m_attempt.number](const boost::system::error_code& error) {
+        if (!error && self->isEndUnconfirmed(number))
+            self->checkRunnerAfterUnframedEnd();
+    });
+}
+
+bool request_relay::isEndUnconfirmed(std::uint32_t number) const
+{
+    return !m_isFinished && isCurrent(number) && m_attempt.exchange && m_attempt.isEndUnconfirmed;
+}
+
+void request_relay::checkRunnerAfterUnframedEnd()
+{
+    if (m_attempt.head->isLeaving) {
+        onResponseComplete();
+        return;
+    }
+    const runner_record* record = m_context.runners().find(m_attempt.runner);
+    if (record && processOf(record->listing) != m_attempt.process) {
+        onUnframedEndChecked(true);
+        return;
+    }
+    if (!record || record->isLeaving || record->listing.isDraining) {
+        onResponseComplete();
+        return;
+    }
+    m_context.promptGuard().checkRunner(record->listing, [self = shared_from_this(), number = m_attempt.number](bool hasEnded) {
+        if (self->isEndUnconfirmed(number))
+            self->onUnframedEndChecked(hasEnded);
+    });
+}
+
+void request_relay::onUnframedEndChecked(bool hasRunnerEnded)
+{
+    if (hasRunnerEnded)
+        onAttemptFailed(attempt_failure::OutcomeUnknown, "runner ended together with a response of unknown length");
     else
         onResponseComplete();
 }
--- a/fleet/runner_attempt.h
+++ b/fleet/runner_attempt.h
@@ -21,6 +21,8 @@
     // Not set after the attempt has ended.
     std::shared_ptr<runner_exchange> exchange;
     runner_id runner;
+    // The runner's process that was addressed.
+    runner_process_id process;
     time_point sentAt;
     // Of the response that is being received, or of a complete server error that is forwarded if no other runner answers.
     std::optional<runner_response_head> head;
@@ -28,6 +30,8 @@
     // Also knows the last event that earlier attempts have sent to the caller.
     event_splitter events;
     bool isRelayingStream = false;
+    // The connection has ended, and it is being checked whether the response is whole.
+    bool isEndUnconfirmed = false;
     bool hasReceivedEvent = false;
     // Whether the attempt has got past the beginning of its answer.
     bool hasAnswered = false;
