--- a/fleet/entry_context.cpp
+++ b/fleet/entry_context.cpp
@@ -7,6 +7,7 @@
 #include "serving/backlog.h"
 #include "serving/retry_delay.h"
 #include "serving/route_index.h"
+#include "serving/runner_response_head.h"
 #include "serving/serving_configuration.h"
 
 namespace sardinelb {
@@ -179,6 +180,29 @@
         m_log.write("runner_limit", { { "runner", runner.value() }, { "limited", requestsPerSecond.has_value() }, { "requests_per_second", requestsPerSecond.value_or(0) } });
 }
 
+void entry_context::onRunnerSignals(const runner_id& runner, runner_process_id process, const runner_response_head& head)
+{
+    for (const std::string& field : head.unreadableFields)
+        m_log.write("response_field_unreadable", { { "runner", runner.value() }, { "field", field } });
+    if (head.pauseTime) {
+        m_log.write("runner_pause", { { "runner", runner.value() }, { "for_ms", wholeMilliseconds(*head.pauseTime) } });
+        m_runners.onPauseRequested(process, *head.pauseTime, steadyNow());
+    }
+    if (!head.isLeaving || !m_runners.onLeaving(process))
+        return;
+    m_log.write("runner_leaving", { { "runner", runner.value() }, { "told_by", "answer" } });
+    if (m_onLeaving)
+        m_onLeaving();
+}
+
+void entry_context::onLeavingRunners(const std::vector<runner_process_id>& all)
+{
+    for (const runner_process_id process : all) {
+        if (m_runners.onLeaving(process))
+            m_log.write("runner_leaving", { { "process", static_cast<std::int64_t>(process.value()) }, { "told_by", "entry" } });
+    }
+}
+
 void entry_context::onLimitUpdates(const std::vector<runner_limit_update>& all)
 {
     for (const runner_limit_update& update : all) {
--- a/fleet/entry_context.h
+++ b/fleet/entry_context.h
@@ -27,6 +27,7 @@
 class request_relay;
 class route_index;
 struct request_totals;
+struct runner_response_head;
 struct traffic_route;
 
 // State shared by the requests of one entry: its current configuration and runners, the queues of waiting requests, and the
@@ -84,6 +85,13 @@
 
     // A runner named a limit in an answer, or none.
     void onNamedLimit(const runner_id&, std::optional<double> requestsPerSecond);
+    // An answer of a runner's process may say that it leaves or wants nothing for a while.
+    void onRunnerSignals(const runner_id&, runner_process_id, const runner_response_head&);
+    // Processes that have said to another entry that they leave.
+    void onLeavingRunners(const std::vector<runner_process_id>&);
+    // Called when a runner's process says to this entry that it leaves, so that the others learn of it at once.
+    void setLeavingHandler(std::function<void()> handler) { m_onLeaving = std::move(handler); }
+
     // Limits that runners named in answers to another entry.
     void onLimitUpdates(const std::vector<runner_limit_update>&);
 
@@ -129,6 +137,7 @@
     time_point m_startedAt;
     boost::asio::steady_timer m_dispatchTimer;
     bool m_isDispatchScheduled = false;
+    std::function<void()> m_onLeaving;
 };
 
 }
--- a/fleet/entry_peers.cpp
+++ b/fleet/entry_peers.cpp
@@ -59,6 +59,7 @@
     if (!m_socket->open(m_settings.ip, m_settings.firstPeerPort + entryDatagramPortOffset, problem))
         return false;
     m_entry.promptGuard().setEvidenceHandler([this] { sendVersions(); });
+    m_entry.setLeavingHandler([this] { sendVersions(); });
     tick();
     return true;
 }
@@ -155,6 +156,7 @@
     heartbeat.groups = directCandidates();
     heartbeat.runnerLimits = m_entry.runners().limitUpdates(steadyNow());
     heartbeat.promptParts = m_entry.promptGuard().evidence();
+    heartbeat.leavingRunners = m_entry.runners().leavingRunners();
     const std::string bytes = encode(heartbeat);
     for (const auto& [ip, at] : m_entries) {
         if (const auto to = udpEndpoint(ip + ":0", m_settings.firstPeerPort + entryDatagramPortOffset))
@@ -265,6 +267,7 @@
     // An entry that stops still serves, and may be the only one that knows.
     m_entry.promptGuard().onEvidence(heartbeat.promptParts);
     m_entry.onLimitUpdates(heartbeat.runnerLimits);
+    m_entry.onLeavingRunners(heartbeat.leavingRunners);
     if (heartbeat.isStopping) {
         m_entries.erase(ip);
         m_entry.demand().removePeer(ip);
--- a/fleet/fleet_message.cpp
+++ b/fleet/fleet_message.cpp
@@ -65,11 +65,14 @@
         }
         const auto promptParts = createPromptParts(message.promptParts);
         const auto runnerLimits = createRunnerLimits(message.runnerLimits);
+        std::vector<std::uint64_t> leavingRunners;
+        for (const runner_process_id process : message.leavingRunners)
+            leavingRunners.push_back(process.value());
         const auto body = wire::Createentry_beatDirect(builder, message.daemon.value().c_str(), message.configuration.value(),
             message.runnerList.revision.value(), message.runnerDigest,
             milliseconds(message.runnerListAge), message.isStopping, message.group.value().c_str(), &members,
             message.expertsPerRank, message.newExpertsPerRank, static_cast<std::uint64_t>(message.expertCopyTime.count()), message.slots, &groups,
-            message.arrivalsPerSecond, &promptParts, &runnerLimits, message.runnerList.epoch.value());
+            message.arrivalsPerSecond, &promptParts, &runnerLimits, message.runnerList.epoch.value(), &leavingRunners);
         finish(wire::datagram_body::entry_beat, body.Union());
     }
 
@@ -202,6 +205,10 @@
         for (const auto* limit : *body.runner_limits())
             message.runnerLimits.push_back(read(*limit));
     }
+    if (body.leaving_runners()) {
+        for (const std::uint64_t process : *body.leaving_runners())
+            message.leavingRunners.emplace_back(process);
+    }
     if (body.prompt_parts()) {
         for (const auto* part : *body.prompt_parts())
             message.promptParts.push_back(read(*part));
--- a/fleet/fleet_message.h
+++ b/fleet/fleet_message.h
@@ -53,6 +53,8 @@
     std::vector<prompt_part_evidence> promptParts;
     // Limits that runners have named in answers to the sender. Empty for agents.
     std::vector<runner_limit_update> runnerLimits;
+    // Runners' processes that have said in an answer that they leave. Empty for agents.
+    std::vector<runner_process_id> leavingRunners;
     // This and the fields below are set for agents whose group the entry knows. The members are the lowest ranks.
     group_id group;
     std::vector<member> members;
--- a/fleet/request_relay.cpp
+++ b/fleet/request_relay.cpp
@@ -231,6 +231,7 @@
     runner_attempt attempt;
     attempt.number = static_cast<std::uint32_t>(m_triedRunners.size());
     attempt.runner = runner;
+    attempt.process = processOf(record->listing);
     attempt.sentAt = now;
     attempt.events = std::move(m_attempt.events);
     m_attempt = std::move(attempt);
--- a/fleet/request_relay_response.cpp
+++ b/fleet/request_relay_response.cpp
@@ -53,8 +53,10 @@
     const auto rejection = checkResponseHead(*m_attempt.head, expected);
     if (rejection || m_attempt.head->status >= firstServerErrorStatus)
         logUnexpectedHead();
-    if (isFromAddressedRunner(*m_attempt.head, expected))
+    if (isFromAddressedRunner(*m_attempt.head, expected)) {
         m_context.onNamedLimit(m_attempt.runner, m_attempt.head->requestsPerSecond);
+        m_context.onRunnerSignals(m_attempt.runner, m_attempt.process, *m_attempt.head);
+    }
     if (rejection) {
         onAttemptFailed(rejection->failure, rejection->reason);
         return;
--- a/fleet/runner_attempt.h
+++ b/fleet/runner_attempt.h
@@ -21,6 +21,8 @@
     // Not set after the attempt has ended.
     std::shared_ptr<runner_exchange> exchange;
     runner_id runner;
+    // The runner's process that was addressed.
+    runner_process_id process;
     time_point sentAt;
     // Of the response that is being received, or of a complete server error that is forwarded if no other runner answers.
     std::optional<runner_response_head> head;
--- a/serving/exclusion_reason.cpp
+++ b/serving/exclusion_reason.cpp
@@ -11,10 +11,14 @@
         return "awaiting_first_report";
     case exclusion_reason::Draining:
         return "draining";
+    case exclusion_reason::Leaving:
+        return "leaving";
     case exclusion_reason::Replaced:
         return "replaced";
     case exclusion_reason::BackingOff:
         return "backing_off";
+    case exclusion_reason::PauseRequested:
+        return "pause_requested";
     case exclusion_reason::RateLimited:
         return "rate_limited";
     case exclusion_reason::GroupNotOpen:
--- a/serving/exclusion_reason.h
+++ b/serving/exclusion_reason.h
@@ -9,10 +9,14 @@
     // The process is new, and its agent has not reported yet.
     AwaitingFirstReport,
     Draining,
+    // The runner itself says that it leaves; the list may not say so yet.
+    Leaving,
     // Another process listens on the runner's address.
     Replaced,
     // Attempts at the runner failed lately.
     BackingOff,
+    // The runner has asked this entry to send nothing for a while.
+    PauseRequested,
     // This entry has used its part of what the runner takes from all entries.
     RateLimited,
     // A rank of the runner's group is missing, so that no pass can run.
--- a/serving/runner_directory.cpp
+++ b/serving/runner_directory.cpp
@@ -47,6 +47,12 @@
 // Used until a response of the pool has completed.
 constexpr double defaultServiceMs = 2000;
 
+// Whether the runner is one that goes on taking requests, though perhaps not at this moment.
+bool isStaying(const runner_record& record)
+{
+    return !record.listing.isDraining && !record.isLeaving && !record.isReplaced;
+}
+
 double smoothed(double before, double value)
 {
     return before + smoothingFactor * (value - before);
@@ -117,6 +123,12 @@
     return found == m_runners.end() ? nullptr : &found->second;
 }
 
+runner_record* runner_directory::findRecord(runner_process_id process)
+{
+    const auto known = m_byProcess.find(process);
+    return known == m_byProcess.end() ? nullptr : &m_runners.at(known->second);
+}
+
 const runner_record* runner_directory::find(const runner_id& id) const
 {
     const auto found = m_runners.find(id);
@@ -214,10 +226,14 @@
         return exclusion_reason::AwaitingFirstReport;
     if (record.listing.isDraining)
         return exclusion_reason::Draining;
+    if (record.isLeaving)
+        return exclusion_reason::Leaving;
     if (record.isReplaced)
         return exclusion_reason::Replaced;
     if (now < record.backoffUntil)
         return exclusion_reason::BackingOff;
+    if (now < record.pausedUntil)
+        return exclusion_reason::PauseRequested;
     if (record.limit.sendable(now) == 0U)
         return exclusion_reason::RateLimited;
     const bool isGroupClosed = record.load && !record.load->isGroupOpen && now - record.load->at <= maxBackoff;
@@ -339,7 +355,7 @@
     double rate = 0;
     for (const runner_id& id : members->second) {
         const runner_record& record = m_runners.at(id);
-        if (!record.listing.isDraining && !record.isReplaced)
+        if (isStaying(record))
             rate += limitedRate(record, (hasEngine ? limitPerRank(record, *engineOf(pool)) : record.listing.slots) / seconds);
     }
     return rate;
@@ -361,7 +377,7 @@
     double rate = 0;
     for (const runner_id& id : members->second) {
         const runner_record& record = m_runners.at(id);
-        if (record.listing.isDraining || record.isReplaced)
+        if (!isStaying(record))
             continue;
         const double slowdown = stepMs(engine->slots) / std::max(stepMs(limitPerRank(record, *engine)), 1e-9);
         rate += limitedRate(record, engine->slots / (seconds * slowdown));
@@ -467,15 +483,14 @@
 
 bool runner_directory::onLimitUpdate(const runner_limit_update& update, time_point now)
 {
-    const auto known = m_byProcess.find(update.runner);
-    if (known == m_byProcess.end())
+    runner_record* record = findRecord(update.runner);
+    if (!record)
         return false;
-    runner_record& record = m_runners.at(known->second);
-    const std::optional<double> before = record.limit.requestsPerSecond();
-    record.limit.onUpdate(update, now);
-    const bool isChanged = record.limit.requestsPerSecond() != before;
+    const std::optional<double> before = record->limit.requestsPerSecond();
+    record->limit.onUpdate(update, now);
+    const bool isChanged = record->limit.requestsPerSecond() != before;
     if (isChanged)
-        updateLimitPosition(record);
+        updateLimitPosition(*record);
     return isChanged;
 }
 
@@ -489,6 +504,31 @@
     return all;
 }
 
+bool runner_directory::onLeaving(runner_process_id process)
+{
+    runner_record* record = findRecord(process);
+    if (!record || record->isLeaving)
+        return false;
+    record->isLeaving = true;
+    return true;
+}
+
+std::vector<runner_process_id> runner_directory::leavingRunners() const
+{
+    std::vector<runner_process_id> leaving;
+    for (const auto& [process, id] : m_byProcess) {
+        if (m_runners.at(id).isLeaving)
+            leaving.push_back(process);
+    }
+    return leaving;
+}
+
+void runner_directory::onPauseRequested(runner_process_id process, duration time, time_point now)
+{
+    if (runner_record* record = findRecord(process))
+        record->pausedUntil = std::max(record->pausedUntil, now + time);
+}
+
 void runner_directory::onFirstEvent(const runner_id& id, duration sinceSent)
 {
     const runner_record* record = find(id);
--- a/serving/runner_directory.h
+++ b/serving/runner_directory.h
@@ -90,6 +90,16 @@
     // The limits that runners have named in answers to this entry, for the other entries.
     std::vector<runner_limit_update> limitUpdates(time_point now) const;
 
+    // Records that a runner's process has said, to this entry or another one, that it leaves. Returns whether that is news. Ignored for
+    // a process that is not listed.
+    bool onLeaving(runner_process_id);
+
+    // The listed processes that have said that they leave, for the other entries.
+    std::vector<runner_process_id> leavingRunners() const;
+
+    // Records that a runner's process wants nothing from this entry for a while.
+    void onPauseRequested(runner_process_id, duration, time_point now);
+
     // Records the time from sending a request to the first event of its stream.
     void onFirstEvent(const runner_id&, duration sinceSent);
 
@@ -148,6 +158,7 @@
     const engine_profile* engineOf(const pool_id&) const;
     double score(const runner_record&, time_point now) const;
     runner_record* findRecord(const runner_id&);
+    runner_record* findRecord(runner_process_id);
     void recordFailure(const runner_id&, attempt_failure, time_point now);
     void updateLimitPosition(runner_record&) const;
     // Rate at which a runner takes requests that would take `requestsPerSecond` without a limit.
--- a/serving/runner_record.h
+++ b/serving/runner_record.h
@@ -43,6 +43,10 @@
     std::uint32_t consecutiveFailures = 0;
     // Whether another process listens on the address.
     bool isReplaced = false;
+    // Whether the process has said that it leaves, to this entry or another one.
+    bool isLeaving = false;
+    // The runner wants nothing from this entry before.
+    time_point pausedUntil;
     // End of the backoff after failed attempts; no requests are sent before.
     time_point backoffUntil;
 
--- a/serving/runner_response_head.h
+++ b/serving/runner_response_head.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "state/time.h"
+
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace sardinelb {
 
@@ -20,6 +23,12 @@
     bool isEncoded = false;
     // Requests a second that the runner takes from all entries together, for as long as it says so. Nothing if it names no limit.
     std::optional<double> requestsPerSecond;
+    // Whether the runner's process leaves: it finishes what it runs and is to get nothing more.
+    bool isLeaving = false;
+    // How long a runner that rejected the request wants nothing from this entry. Bounded. Nothing if it does not say.
+    std::optional<duration> pauseTime;
+    // Names of fields whose values cannot be read, for the log.
+    std::vector<std::string> unreadableFields;
     // Header lines to forward to the caller, each with its line end, without the hop-by-hop fields.
     std::string forwardedHeaders;
 };
