Bound the memory and the connections that the callers of an entry use together

Memory was bounded for each connection only, so that 60 callers could take more than twice the memory of their machine. Stalled connections give way first, then the largest unfinished request; a request that was passed on keeps its memory while its caller reads. Bodies grow by a quarter instead of doubling, slow readers share what is free, and large buffers go back to the system. A body has to make progress instead of ending within 10 s.

--- a/fleet/entry_process.cpp
+++ b/fleet/entry_process.cpp
@@ -17,6 +17,7 @@
 #include "platform/store_client.h"
 #include "platform/table_follower.h"
 #include "relay/http_request_message.h"
+#include "relay/memory_budget.h"
 #include "serving/list_reconciliation.h"
 #include "serving/route_index.h"
 #include "serving/runner_listing.h"
@@ -108,6 +109,8 @@
     std::map<std::string, peer_read> peerReads;
     // When the link will have sent the tables that other entries have read.
     time_point tablesSentAt;
+    // What callers may use together.
+    std::shared_ptr<memory_budget> callerMemory;
     std::shared_ptr<http_listener> callerServer;
     std::shared_ptr<http_listener> statusServer;
     std::shared_ptr<http_listener> tableServer;
@@ -147,6 +150,7 @@
     void readFromPeer(const std::string& ip, std::string_view table, platform::table_follower&);
     http_server_connection::hooks tableServerHooks();
     void sendTable(const std::shared_ptr<http_server_connection>&, const std::map<std::string, platform::store_row>& rows, store_revision);
+    void updateMemoryMetrics();
     void respondWithStatus(const std::shared_ptr<http_server_connection>&, const http_request_message&);
     void stop();
     void advanceStop();
@@ -158,6 +162,8 @@
 {
     if (!listen(statusServer, statusServerHooks(), options.readyAddress) || !listen(callerServer, callerServerHooks(), options.callerAddress))
         return false;
+    callerMemory = std::make_shared<memory_budget>(callerLimitsFor(options.memoryBytes, options.descriptors));
+    callerServer->setMemoryBudget(callerMemory);
     const std::string tableAddress = options.ip + ":" + std::to_string(options.firstPeerPort + entryTablePortOffset);
     if (!listen(tableServer, tableServerHooks(), tableAddress))
         return false;
@@ -193,6 +199,10 @@
         log.write("bad_request", { { "status", static_cast<std::int64_t>(code) }, { "why", why } });
         metrics.count("bad_request");
     };
+    hooks.onEvicted = [this](eviction_reason reason) {
+        log.write("connection_evicted", { { "reason", nameOf(reason) }, { "used_bytes", static_cast<std::int64_t>(callerMemory->usedBytes()) }, { "connections", static_cast<std::int64_t>(callerMemory->connectionCount()) } });
+        metrics.count(std::string("evicted_") + nameOf(reason));
+    };
     return hooks;
 }
 
@@ -206,11 +216,18 @@
     return hooks;
 }
 
+void entry_process::implementation::updateMemoryMetrics()
+{
+    for (int use = 0; use < memoryUses; ++use)
+        metrics.setMemory(nameOf(static_cast<memory_use>(use)), callerMemory->usedBytes(static_cast<memory_use>(use)));
+}
+
 void entry_process::implementation::respondWithStatus(const std::shared_ptr<http_server_connection>& caller, const http_request_message& message)
 {
-    if (message.target == "/metrics")
+    if (message.target == "/metrics") {
+        updateMemoryMetrics();
         caller->respond(200, "Content-Type: text/plain; version=0.0.4\r\n", metrics.text());
-    else if (message.target == platform::readinessPath)
+    } else if (message.target == platform::readinessPath)
         caller->respond(isReady() ? 200 : 503, "", "");
     else
         caller->respond(404, "", "");
--- a/fleet/http_listener.cpp
+++ b/fleet/http_listener.cpp
@@ -1,6 +1,8 @@
 #include "fleet/http_listener.h"
 
+#include "fleet/steady_time.h"
 #include "relay/endpoint.h"
+#include "relay/memory_budget.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -63,7 +65,13 @@
             timer->async_wait([self, timer](const error_code&) { self->accept(); });
             return;
         }
-        const auto connection = std::make_shared<http_server_connection>(std::move(socket), self->m_limits, self->m_hooks);
+        // A connection that finds no room is closed unread.
+        if (self->m_budget && !self->m_budget->admit(steadyNow())) {
+            self->m_hooks->onRejected(0, "no connection is free");
+            self->accept();
+            return;
+        }
+        const auto connection = std::make_shared<http_server_connection>(std::move(socket), self->m_limits, self->m_hooks, self->m_budget);
         self->m_connections.insert(connection.get());
         if (self->m_isCloseAnnounced)
             connection->announceClose();
--- a/fleet/http_listener.h
+++ b/fleet/http_listener.h
@@ -13,6 +13,8 @@
 
 namespace sardinelb {
 
+class memory_budget;
+
 // Accepts connections on one address and serves HTTP requests on them.
 class http_listener : public std::enable_shared_from_this<http_listener> {
 public:
@@ -24,6 +26,9 @@
     // Applies to connections accepted from now on.
     void setLimits(const caller_limits& limits) { m_limits = limits; }
 
+    // Applies to connections accepted from now on. The budget may refuse connections.
+    void setMemoryBudget(std::shared_ptr<memory_budget> budget) { m_budget = std::move(budget); }
+
     // Closes the listening socket.
     void stopAccepting();
 
@@ -42,6 +47,7 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::shared_ptr<http_server_connection::hooks> m_hooks;
     caller_limits m_limits;
+    std::shared_ptr<memory_budget> m_budget;
     std::unordered_set<http_server_connection*> m_connections;
     bool m_isCloseAnnounced = false;
 };
--- a/fleet/process_metrics.cpp
+++ b/fleet/process_metrics.cpp
@@ -1,6 +1,7 @@
 #include "fleet/process_metrics.h"
 
 #include <prometheus/counter.h>
+#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
@@ -22,6 +23,7 @@
     prometheus::Registry registry;
     prometheus::Family<prometheus::Counter>& requests = prometheus::BuildCounter().Name("sardinelb_requests_total").Help("Requests of callers by outcome.").Register(registry);
     prometheus::Family<prometheus::Counter>& events = prometheus::BuildCounter().Name("sardinelb_events_total").Help("Decisions and changes of belief by kind.").Register(registry);
+    prometheus::Family<prometheus::Gauge>& memory = prometheus::BuildGauge().Name("sardinelb_caller_memory_bytes").Help("Memory reserved for connections of callers by use.").Register(registry);
     prometheus::Histogram& total = prometheus::BuildHistogram().Name("sardinelb_request_seconds").Help("Time from a request to the end of its answer.").Register(registry).Add({}, latencyBucketsSeconds);
     prometheus::Histogram& first = prometheus::BuildHistogram().Name("sardinelb_first_answer_seconds").Help("Time from a request to the first part of its answer.").Register(registry).Add({}, latencyBucketsSeconds);
 };
@@ -49,6 +51,11 @@
     m_implementation->events.Add({ { "event", event } }).Increment();
 }
 
+void process_metrics::setMemory(const std::string& use, std::size_t bytes)
+{
+    m_implementation->memory.Add({ { "use", use } }).Set(static_cast<double>(bytes));
+}
+
 std::string process_metrics::text() const
 {
     return prometheus::TextSerializer().Serialize(m_implementation->registry.Collect());
--- a/fleet/process_metrics.h
+++ b/fleet/process_metrics.h
@@ -2,6 +2,7 @@
 
 #include "state/time.h"
 
+#include <cstddef>
 #include <memory>
 #include <string>
 
@@ -22,6 +23,9 @@
     // Counts an event, such as a retry.
     void count(const std::string& event);
 
+    // Sets the bytes in use for callers of one kind, such as bodies.
+    void setMemory(const std::string& use, std::size_t bytes);
+
     std::string text() const;
 
 private:
--- a/fleet/request_relay.h
+++ b/fleet/request_relay.h
@@ -68,7 +68,8 @@
     void onEvents(std::string_view);
     void forwardEvents(const std::string&);
     void onExchangeEnd(runner_exchange::result);
-    // Counts the buffered part of the response. Returns false if it is too long to buffer.
+    void appendToBody(std::string_view);
+    // Counts the buffered part of the response. Returns false if it is too long to buffer, or if there is no memory for it.
     bool updateBufferedBytes();
     static bool isEventTooLong(const runner_attempt&);
     // Whether the stream of a response that is complete by its framing ended inside an event or before the first one.
--- a/fleet/request_relay_response.cpp
+++ b/fleet/request_relay_response.cpp
@@ -8,6 +8,7 @@
 #include "platform/request_translation.h"
 #include "relay/http_response_head.h"
 #include "relay/http_server_connection.h"
+#include "relay/incoming_body.h"
 #include "serving/response_head_check.h"
 #include "serving/traffic_route.h"
 
@@ -17,8 +18,6 @@
 
 namespace {
 
-// Reading the response of a runner pauses while more than this has not been sent to the caller.
-constexpr std::size_t maxBacklogBytes = 262144;
 constexpr std::chrono::milliseconds backlogCheckInterval { 20 };
 
 // Most that is buffered of a response: of one that is no stream, of one event of a stream, and of all responses together. A runner in
@@ -27,6 +26,9 @@
 constexpr std::size_t maxEventBytes = 1048576;
 constexpr std::size_t maxBufferedResponseBytes = 33554432;
 
+// Memory of a buffered response in proportion to its bytes. Buffers grow, and whole events are copied before they are sent.
+constexpr std::size_t bufferedMemoryFactor = 2;
+
 constexpr int firstServerErrorStatus = 500;
 
 }
@@ -90,11 +92,17 @@
     if (m_attempt.isRelayingStream)
         onEvents(part);
     else
-        m_attempt.body += part;
+        appendToBody(part);
     if (m_attempt.exchange && !updateBufferedBytes())
         onAttemptFailed(attempt_failure::OutcomeUnknown, "response is too long to buffer");
 }
 
+void request_relay::appendToBody(std::string_view part)
+{
+    m_attempt.body.reserve(grownCapacity(m_attempt.body.capacity(), m_attempt.body.size() + part.size()));
+    m_attempt.body += part;
+}
+
 bool request_relay::updateBufferedBytes()
 {
     const std::size_t bytes = m_attempt.body.size() + m_attempt.events.pendingBytes();
@@ -105,7 +113,9 @@
     const bool isGrowing = allBytes > m_bufferedBytes;
     total += allBytes - m_bufferedBytes;
     m_bufferedBytes = allBytes;
-    return bytes <= (m_attempt.isRelayingStream ? maxEventBytes : maxBodyBytes) && (!isGrowing || total <= maxBufferedResponseBytes);
+    if (bytes > (m_attempt.isRelayingStream ? maxEventBytes : maxBodyBytes) || (isGrowing && total > maxBufferedResponseBytes))
+        return false;
+    return m_caller->reserveAnswer(allBytes * bufferedMemoryFactor) || !isGrowing;
 }
 
 bool request_relay::isEventTooLong(const runner_attempt& attempt)
@@ -141,7 +151,7 @@
     m_attempt.hasReceivedEvent = true;
     m_attempt.lastEventAt = now;
     m_caller->sendChunk(events);
-    if (m_caller->unsentBytes() > maxBacklogBytes) {
+    if (m_caller->unsentBytes() > m_caller->maxUnsentBytes()) {
         m_attempt.exchange->pause();
         scheduleBacklogCheck();
     }
@@ -153,7 +163,7 @@
     m_silenceTimer.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
         if (error || !self->m_attempt.exchange)
             return;
-        if (self->m_caller->unsentBytes() > maxBacklogBytes / 2) {
+        if (self->m_caller->unsentBytes() > self->m_caller->maxUnsentBytes() / 2) {
             self->scheduleBacklogCheck();
             return;
         }
--- a/relay/http_server_connection.cpp
+++ b/relay/http_server_connection.cpp
@@ -2,13 +2,13 @@
 
 #include "relay/bounded_parse.h"
 #include "relay/http_request_message.h"
+#include "relay/incoming_body.h"
+#include "relay/memory_budget.h"
 
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/status.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <algorithm>
 #include <array>
@@ -29,16 +29,41 @@
 // Bytes of pipelined requests that are buffered while the current request is served.
 constexpr std::size_t maxReadAheadBytes = 65536;
 
-// Limit for receiving the body of a request after its header.
-constexpr std::chrono::seconds bodyTimeout { 10 };
+// Fewer bytes of a body count as no progress.
+constexpr std::size_t minBodyProgressBytes = 1024;
 
-// The connection is closed when a write does not complete within this time.
+// The connection is closed when the caller reads nothing for this time.
 constexpr std::chrono::seconds writeTimeout { 10 };
 
+// A connection without requests: its buffers, the socket and the bookkeeping of the event loop.
+constexpr std::size_t connectionBytes = 8192;
+
+// Memory of a parsed head in proportion to its bytes. A field of five bytes takes two allocations and a node in a tree.
+constexpr std::size_t headMemoryFactor = 16;
+
+// Buffers that are larger are freed between two responses.
+constexpr std::size_t keptBufferBytes = 16384;
+
+// Room for the field that states the length of a response.
+constexpr std::size_t lengthFieldBytes = 48;
+
+// From when on a stream pauses for a caller that reads slowly, without a budget.
+constexpr std::size_t defaultMaxUnsentBytes = 262144;
+
+constexpr const char* noMemoryReason = "no memory is free for the request";
+
+constexpr int requestTimeoutStatus = 408;
+constexpr int unavailableStatus = 503;
+
 constexpr int internalErrorStatus = 500;
 constexpr int noContentStatus = 204;
 constexpr int notModifiedStatus = 304;
 
+time_point steadyTime()
+{
+    return time_point(std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
+}
+
 // Whether a response with this status has a body and states its length.
 bool hasBody(int status)
 {
@@ -59,11 +84,12 @@
         Closed,
     };
 
-    implementation(asio::ip::tcp::socket connected, caller_limits connectionLimits, std::shared_ptr<const hooks> handlers)
+    implementation(asio::ip::tcp::socket connected, caller_limits connectionLimits, std::shared_ptr<const hooks> handlers, std::shared_ptr<memory_budget> sharedBudget)
         : socket(std::move(connected))
         , limits(connectionLimits)
         , callbacks(std::move(handlers))
         , timer(socket.get_executor())
+        , budget(std::move(sharedBudget))
     {
     }
 
@@ -74,11 +100,20 @@
     // Receives the current read. A read is pending while `input` is parsed, so it must not write there.
     std::array<char, readSizeBytes> received {};
     boost::beast::flat_buffer input;
-    std::optional<http::request_parser<http::string_body>> parser;
+    std::optional<http::request_parser<incoming_body>> parser;
+    // Null if there is none. The handle is valid while `isInBudget`.
+    std::shared_ptr<memory_budget> budget;
+    memory_budget::handle account;
+    bool isInBudget = false;
+    // Of the request that is being read.
+    std::size_t headBytes = 0;
+    time_point bodyProgressAt;
+    std::size_t bytesSinceProgress = 0;
     phase currentPhase = phase::Idle;
     std::function<void()> onDisconnect;
     // Bytes of the current write, and bytes queued for the next one.
     std::string writing;
+    std::size_t writtenBytes = 0;
     std::string queued;
     bool isWriting = false;
     bool isReading = false;
@@ -91,6 +126,8 @@
     bool isHeadRequest = false;
     // A stream has begun and has not ended.
     bool isStreaming = false;
+    // The request was rejected before its end. What else arrives is dropped.
+    bool isRejected = false;
 
     void start(const std::shared_ptr<http_server_connection>&);
     void awaitRequest(const std::shared_ptr<http_server_connection>&);
@@ -100,9 +137,21 @@
     void reject(const std::shared_ptr<http_server_connection>&, int status, const char* why);
     void startTimer(const std::shared_ptr<http_server_connection>&, duration);
     void onTimeout(const std::shared_ptr<http_server_connection>&);
-    void write(const std::shared_ptr<http_server_connection>&, std::string_view bytes);
+    void startBodyTimer(const std::shared_ptr<http_server_connection>&);
+    void recordBodyProgress(std::size_t receivedBytes);
+    void write(const std::shared_ptr<http_server_connection>&, std::string bytes);
     void startWrite(const std::shared_ptr<http_server_connection>&);
+    void writeSome(const std::shared_ptr<http_server_connection>&);
     void onWritten(const std::shared_ptr<http_server_connection>&, const error_code&);
+    void openAccount(const std::shared_ptr<http_server_connection>&);
+    void closeAccount();
+    void enter(memory_budget::stage);
+    bool reserve(memory_use, std::size_t bytes);
+    // Reserves memory for parsing what has been read.
+    bool reserveForInput();
+    void chargeUnsent();
+    void releaseRequest();
+    void onEvicted(const std::shared_ptr<http_server_connection>&, eviction_reason);
     void onResponseComplete(const std::shared_ptr<http_server_connection>&);
     bool canBeginResponse(http_server_connection*);
     bool canContinueStream(http_server_connection*);
@@ -115,9 +164,82 @@
 {
     error_code ignored; // The connection works without TCP_NODELAY.
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    openAccount(self);
     awaitRequest(self);
 }
 
+void http_server_connection::implementation::openAccount(const std::shared_ptr<http_server_connection>& self)
+{
+    if (!budget)
+        return;
+    const std::weak_ptr<http_server_connection> weak = self;
+    account = budget->open([weak](eviction_reason reason) {
+        if (const auto connection = weak.lock())
+            connection->m_implementation->onEvicted(connection, reason);
+    },
+        steadyTime());
+    isInBudget = true;
+    budget->charge(account, memory_use::Connection, connectionBytes, steadyTime());
+}
+
+void http_server_connection::implementation::closeAccount()
+{
+    if (isInBudget)
+        budget->close(account);
+    isInBudget = false;
+}
+
+void http_server_connection::implementation::enter(memory_budget::stage stage)
+{
+    if (isInBudget)
+        budget->enter(account, stage, steadyTime());
+}
+
+bool http_server_connection::implementation::reserve(memory_use use, std::size_t bytes)
+{
+    return !isInBudget || budget->reserve(account, use, bytes, steadyTime());
+}
+
+bool http_server_connection::implementation::reserveForInput()
+{
+    if (!isInBudget)
+        return true;
+    if (!parser->is_header_done())
+        return reserve(memory_use::Head, input.size() * headMemoryFactor);
+    const std::string& body = parser->get().body();
+    return reserve(memory_use::Body, grownCapacity(body.capacity(), body.size() + input.size()));
+}
+
+void http_server_connection::implementation::chargeUnsent()
+{
+    if (isInBudget)
+        budget->charge(account, memory_use::Unsent, writing.size() + queued.size(), steadyTime());
+}
+
+// Frees what a request that has ended or was rejected has taken.
+void http_server_connection::implementation::releaseRequest()
+{
+    if (!isInBudget)
+        return;
+    for (const memory_use use : { memory_use::Head, memory_use::Body, memory_use::Answer })
+        budget->charge(account, use, 0, steadyTime());
+}
+
+void http_server_connection::implementation::onEvicted(const std::shared_ptr<http_server_connection>& self, eviction_reason reason)
+{
+    if (callbacks->onEvicted)
+        callbacks->onEvicted(reason);
+    if (currentPhase == phase::Reading && reason == eviction_reason::Stalled)
+        reject(self, requestTimeoutStatus, "request timed out");
+    else if (currentPhase == phase::Reading)
+        reject(self, unavailableStatus, noMemoryReason);
+    else if (currentPhase == phase::Idle)
+        close(self.get());
+    else
+        // Not at once, because the end of a request may let others begin, and with them use the budget.
+        asio::post(socket.get_executor(), [self] { self->m_implementation->close(self.get()); });
+}
+
 void http_server_connection::implementation::awaitRequest(const std::shared_ptr<http_server_connection>& self)
 {
     if (isStopping) {
@@ -126,6 +248,9 @@
     }
     currentPhase = phase::Idle;
     isHeadRequest = false;
+    headBytes = 0;
+    releaseRequest();
+    enter(memory_budget::stage::Idle);
     parser.emplace();
     parser->eager(true);
     parser->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
@@ -148,16 +273,38 @@
 
 void http_server_connection::implementation::onTimeout(const std::shared_ptr<http_server_connection>& self)
 {
-    if (currentPhase == phase::Reading)
-        reject(self, 408, "request timed out");
+    if (currentPhase == phase::Reading && parser->is_header_done() && steadyTime() - bodyProgressAt < limits.bodyStallTimeout)
+        startBodyTimer(self);
+    else if (currentPhase == phase::Reading)
+        reject(self, requestTimeoutStatus, "request timed out");
     else if (currentPhase == phase::Idle || isWriting)
         close(self.get());
 }
 
+void http_server_connection::implementation::startBodyTimer(const std::shared_ptr<http_server_connection>& self)
+{
+    startTimer(self, bodyProgressAt + limits.bodyStallTimeout - steadyTime());
+}
+
+void http_server_connection::implementation::recordBodyProgress(std::size_t receivedBytes)
+{
+    bytesSinceProgress += receivedBytes;
+    if (bytesSinceProgress < minBodyProgressBytes)
+        return;
+    bytesSinceProgress = 0;
+    bodyProgressAt = steadyTime();
+    if (isInBudget)
+        budget->recordProgress(account, bodyProgressAt);
+}
+
 void http_server_connection::implementation::read(const std::shared_ptr<http_server_connection>& self)
 {
     if (isReading || currentPhase == phase::Closed || input.size() > maxReadAheadBytes + limits.maxHeaderBytes)
         return;
+    // Bytes of later requests wait in the socket if there is no memory for them.
+    const bool isServing = currentPhase == phase::Serving || currentPhase == phase::Flushing;
+    if (isServing && input.size() > 0 && !reserve(memory_use::Head, headBytes * headMemoryFactor + input.capacity() + readSizeBytes))
+        return;
     isReading = true;
     socket.async_read_some(asio::buffer(received), [self](const error_code& error, std::size_t count) {
         implementation& connection = *self->m_implementation;
@@ -168,8 +315,13 @@
             connection.close(self.get());
             return;
         }
+        if (connection.isRejected) {
+            connection.read(self);
+            return;
+        }
         asio::buffer_copy(connection.input.prepare(count), asio::buffer(connection.received, count));
         connection.input.commit(count);
+        connection.recordBodyProgress(count);
         // Bytes of the next request stay buffered until the current one is done.
         if (connection.currentPhase == phase::Idle || connection.currentPhase == phase::Reading)
             connection.parse(self);
@@ -182,10 +334,15 @@
 {
     if (currentPhase == phase::Idle) {
         currentPhase = phase::Reading;
+        enter(memory_budget::stage::Receiving);
         startTimer(self, limits.headerTimeout);
     }
     while (input.size() > 0 && !parser->is_done()) {
         const bool wasHeaderDone = parser->is_header_done();
+        if (!reserveForInput()) {
+            reject(self, unavailableStatus, noMemoryReason);
+            return;
+        }
         error_code error;
         const std::size_t maxUnitBytes = wasHeaderDone ? maxFramingBytes : std::max(maxFramingBytes, limits.maxHeaderBytes);
         const std::size_t consumedBytes = parseBounded(*parser, input, maxUnitBytes, error);
@@ -201,8 +358,14 @@
             reject(self, 400, "malformed HTTP request");
             return;
         }
-        if (!wasHeaderDone && parser->is_header_done())
-            startTimer(self, bodyTimeout);
+        if (!wasHeaderDone)
+            headBytes += consumedBytes;
+        if (!wasHeaderDone && parser->is_header_done()) {
+            bodyProgressAt = steadyTime();
+            startBodyTimer(self);
+            if (isInBudget)
+                budget->charge(account, memory_use::Head, headBytes * headMemoryFactor, bodyProgressAt);
+        }
         if (consumedBytes == 0)
             break;
     }
@@ -231,6 +394,12 @@
         reject(self, 400, "HTTP/1.1 request must have exactly one Host header");
         return;
     }
+    // A runner gets a copy of the body, and the original is kept for another attempt.
+    if (!reserve(memory_use::Body, message.body().capacity() + message.body().size())) {
+        reject(self, unavailableStatus, noMemoryReason);
+        return;
+    }
+    enter(memory_budget::stage::Serving);
     currentPhase = phase::Serving;
     isKeepAlive = message.keep_alive();
     isHeadRequest = message.method() == http::verb::head;
@@ -248,6 +417,11 @@
 {
     currentPhase = phase::Serving;
     isKeepAlive = false;
+    isRejected = true;
+    parser.reset();
+    input.clear();
+    input.shrink_to_fit();
+    releaseRequest();
     callbacks->onRejected(status, why);
     self->respond(status, "Content-Type: text/plain\r\n", why);
 }
@@ -264,23 +438,45 @@
     return text;
 }
 
-void http_server_connection::implementation::write(const std::shared_ptr<http_server_connection>& self, std::string_view bytes)
+void http_server_connection::implementation::write(const std::shared_ptr<http_server_connection>& self, std::string bytes)
 {
     if (currentPhase == phase::Closed)
         return;
-    queued += bytes;
+    if (queued.empty()) {
+        queued = std::move(bytes);
+    } else {
+        queued.reserve(grownCapacity(queued.capacity(), queued.size() + bytes.size()));
+        queued += bytes;
+    }
     if (!isWriting)
         startWrite(self);
+    chargeUnsent();
 }
 
 void http_server_connection::implementation::startWrite(const std::shared_ptr<http_server_connection>& self)
 {
     isWriting = true;
-    writing.swap(queued);
+    writing = std::move(queued);
     queued.clear();
+    writtenBytes = 0;
+    enter(memory_budget::stage::Sending);
     startTimer(self, writeTimeout);
-    asio::async_write(socket, asio::buffer(writing), [self](const error_code& error, std::size_t) {
-        self->m_implementation->onWritten(self, error);
+    writeSome(self);
+}
+
+void http_server_connection::implementation::writeSome(const std::shared_ptr<http_server_connection>& self)
+{
+    socket.async_write_some(asio::buffer(writing) + writtenBytes, [self](const error_code& error, std::size_t count) {
+        implementation& connection = *self->m_implementation;
+        connection.writtenBytes += count;
+        if (error || connection.currentPhase == phase::Closed || connection.writtenBytes >= connection.writing.size()) {
+            connection.onWritten(self, error);
+            return;
+        }
+        if (connection.isInBudget)
+            connection.budget->recordProgress(connection.account, steadyTime());
+        connection.startTimer(self, writeTimeout);
+        connection.writeSome(self);
     });
 }
 
@@ -288,17 +484,21 @@
 {
     isWriting = false;
     writing.clear();
+    if (writing.capacity() > keptBufferBytes)
+        writing.shrink_to_fit();
     if (currentPhase == phase::Closed)
         return;
     if (error) {
         close(self.get());
         return;
     }
+    chargeUnsent();
     if (!queued.empty()) {
         startWrite(self);
         return;
     }
     timer.cancel();
+    enter(memory_budget::stage::Serving);
     if (isClosingAfterWrite)
         close(self.get());
     else if (currentPhase == phase::Flushing)
@@ -310,6 +510,7 @@
     onDisconnect = nullptr;
     if (currentPhase == phase::Closed)
         return;
+    releaseRequest();
     if (isCloseAnnounced || isStopping)
         isClosingAfterWrite = true;
     // onWritten() starts reading the next request once the whole response has been written.
@@ -352,6 +553,8 @@
     if (currentPhase == phase::Closed)
         return;
     currentPhase = phase::Closed;
+    closeAccount();
+    queued = {};
     timer.cancel();
     error_code ignored; // The peer may have closed the connection first.
     socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
@@ -362,8 +565,8 @@
     callbacks->onClosed(self);
 }
 
-http_server_connection::http_server_connection(asio::ip::tcp::socket socket, caller_limits limits, std::shared_ptr<const hooks> callbacks)
-    : m_implementation(std::make_unique<implementation>(std::move(socket), limits, std::move(callbacks)))
+http_server_connection::http_server_connection(asio::ip::tcp::socket socket, caller_limits limits, std::shared_ptr<const hooks> callbacks, std::shared_ptr<memory_budget> budget)
+    : m_implementation(std::make_unique<implementation>(std::move(socket), limits, std::move(callbacks), std::move(budget)))
 {
 }
 
@@ -385,13 +588,14 @@
         return;
     const auto self = shared_from_this();
     std::string text = m_implementation->head(status, fields);
+    text.reserve(text.size() + body.size() + lengthFieldBytes);
     if (!hasBody(status))
         text += "\r\n";
     else
         text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
     if (hasBody(status) && !m_implementation->isHeadRequest)
         text += body;
-    m_implementation->write(self, text);
+    m_implementation->write(self, std::move(text));
     m_implementation->onResponseComplete(self);
 }
 
@@ -411,9 +615,11 @@
     const auto end = std::to_chars(size.data(), size.data() + size.size(), part.size(), 16).ptr;
     if (m_implementation->isHeadRequest)
         return;
-    std::string chunk(size.data(), end);
+    std::string chunk;
+    chunk.reserve(part.size() + size.size() + 4);
+    chunk.append(size.data(), end);
     chunk.append("\r\n").append(part).append("\r\n");
-    m_implementation->write(shared_from_this(), chunk);
+    m_implementation->write(shared_from_this(), std::move(chunk));
 }
 
 void http_server_connection::endStream()
@@ -445,6 +651,16 @@
         m_implementation->close(this);
 }
 
+std::size_t http_server_connection::maxUnsentBytes() const
+{
+    return m_implementation->isInBudget ? m_implementation->budget->maxUnsentBytes() : defaultMaxUnsentBytes;
+}
+
+bool http_server_connection::reserveAnswer(std::size_t bytes)
+{
+    return m_implementation->reserve(memory_use::Answer, bytes);
+}
+
 std::size_t http_server_connection::unsentBytes() const
 {
     return m_implementation->writing.size() + m_implementation->queued.size();
--- a/relay/http_server_connection.h
+++ b/relay/http_server_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "relay/eviction_reason.h"
 #include "serving/caller_limits.h"
 
 #include <cstddef>
@@ -12,6 +13,7 @@
 
 namespace sardinelb {
 
+class memory_budget;
 struct http_request_message;
 
 // The server side of one HTTP/1.1 connection. Serves one request at a time: the next one is parsed when the response to the
@@ -26,9 +28,12 @@
         std::function<void(int status, const char* why)> onRejected;
         // The connection has ended.
         std::function<void(http_server_connection*)> onClosed;
+        // The connection gives up its memory or its descriptor for others. May be empty.
+        std::function<void(eviction_reason)> onEvicted;
     };
 
-    http_server_connection(boost::asio::ip::tcp::socket, caller_limits, std::shared_ptr<const hooks>);
+    // Without a budget, the connection uses memory within the limits of one caller only.
+    http_server_connection(boost::asio::ip::tcp::socket, caller_limits, std::shared_ptr<const hooks>, std::shared_ptr<memory_budget> = nullptr);
     ~http_server_connection();
 
     void start();
@@ -56,6 +61,13 @@
     // Bytes that have not been written to the socket yet.
     std::size_t unsentBytes() const;
 
+    // Most bytes that may be unsent before the sender of a stream should pause.
+    std::size_t maxUnsentBytes() const;
+
+    // Reserves memory for a response that is collected before it is sent. Replaces the amount of the call before. Returns false if
+    // there is none.
+    bool reserveAnswer(std::size_t bytes);
+
 private:
     struct implementation;
     std::unique_ptr<implementation> m_implementation;
--- a/serving/event_splitter.cpp
+++ b/serving/event_splitter.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr std::size_t maxKeptBytes = 16384;
+
 constexpr const char* lineEndCharacters = "\r\n";
 
 // Fields of an event. Others are permitted beside them.
@@ -85,6 +87,9 @@
     }
     std::string events = m_pending.substr(0, end);
     m_pending.erase(0, end);
+    // A long event would otherwise keep its memory until the stream ends.
+    if (m_pending.empty() && m_pending.capacity() > maxKeptBytes)
+        m_pending.shrink_to_fit();
     return events;
 }
 
--- a/tests/fleet/server_connection_test.cpp
+++ b/tests/fleet/server_connection_test.cpp
@@ -1,5 +1,6 @@
 #include "fleet/http_listener.h"
 #include "relay/http_request_message.h"
+#include "relay/memory_budget.h"
 #include "tests/support/port_reservation.h"
 #include "tests/support/raw_connection.h"
 
@@ -55,6 +56,7 @@
     boost::asio::io_context m_context;
     std::uint16_t m_port = port_reservation::reserve(1);
     std::shared_ptr<http_listener> m_listener;
+    caller_limits m_limits;
     std::vector<int> m_rejected;
 };
 
@@ -105,6 +107,58 @@
     EXPECT_TRUE(m_rejected.empty());
 }
 
+// Guards against a time limit that a slow but sound caller cannot meet, however small the part that is missing.
+TEST_F(server_connection, bodyArrivesSlowly_served)
+{
+    std::string served;
+    listen([&](const std::shared_ptr<http_server_connection>& caller, const http_request_message& message) {
+        served = message.body;
+        caller->respond(200, "", "done");
+    });
+    m_limits.bodyStallTimeout = milliseconds(200);
+    m_listener->setLimits(m_limits);
+    runCaller([](raw_connection& connection) {
+        connection.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 6000\r\n\r\n");
+        for (int i = 0; i < 6; ++i) {
+            connection.send(std::string(1000, 'x'));
+            std::this_thread::sleep_for(milliseconds(75));
+        }
+        EXPECT_EQ(connection.receiveUntil("\r\n"), "HTTP/1.1 200 OK\r\n");
+    });
+    EXPECT_EQ(served.size(), 6000U);
+}
+
+// Guards against a body that is kept for as long as single bytes of it arrive.
+TEST_F(server_connection, bodyTrickles_rejected)
+{
+    listen([](const std::shared_ptr<http_server_connection>& caller, const http_request_message&) { caller->respond(200, "", ""); });
+    m_limits.bodyStallTimeout = milliseconds(200);
+    m_listener->setLimits(m_limits);
+    runCaller([](raw_connection& connection) {
+        connection.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 6000\r\n\r\n");
+        for (int i = 0; i < 8; ++i) {
+            connection.send("x");
+            std::this_thread::sleep_for(milliseconds(50));
+        }
+        EXPECT_EQ(connection.receiveUntil("\r\n"), "HTTP/1.1 408 Request Timeout\r\n");
+    });
+    EXPECT_EQ(m_rejected, std::vector<int> { 408 });
+}
+
+// Guards against a refusal for lack of memory that runs the request, or that keeps what had arrived of it.
+TEST_F(server_connection, memoryUsedUp_requestRejectedAndFreed)
+{
+    listen([](const std::shared_ptr<http_server_connection>& caller, const http_request_message&) { caller->respond(200, "", ""); });
+    const auto budget = std::make_shared<memory_budget>(memory_limits { 100000, 10 });
+    m_listener->setMemoryBudget(budget);
+    runCaller([](raw_connection& connection) {
+        connection.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n" + std::string(90000, 'x'));
+        EXPECT_EQ(connection.receiveUntil("\r\n"), "HTTP/1.1 503 Service Unavailable\r\n");
+    });
+    EXPECT_EQ(m_rejected, std::vector<int> { 503 });
+    EXPECT_EQ(budget->usedBytes(memory_use::Body), 0U);
+}
+
 // Guards against a second head in the middle of a response.
 TEST_F(server_connection, respond_streamOpen_connectionClosed)
 {
--- a/tests/process/uncontrolled_clients.py
+++ b/tests/process/uncontrolled_clients.py
@@ -194,6 +194,11 @@
     def ordinary_request(self):
         return request_bytes("POST", "/plain/x", self.installation.next_attempt(), 5000, body=b"b" * 1000)
 
+    def largest_request(self):
+        """A head and a body at the limits of the configuration, and a long answer."""
+        extra = "a: " + "b" * (HEADER_LIMIT - 400) + "\r\n"
+        return request_bytes("POST", "/long/x", self.installation.next_attempt(), 20000, extra, b"b" * self.body_limit)
+
 
 class DaemonTarget(Target):
     """An entry of `sardinelbd`."""
@@ -378,9 +383,18 @@
         crowd.add([target.question("/endless/x")])
 
 
+async def one_request_at_the_limits(target, options):
+    """Serves one request at all limits while nothing else is asked for."""
+    status, _, body = await plain_call(*target.address, target.largest_request(), 20)
+    is_served = status == 200 and len(body) == LONG_ANSWER_BYTES
+    print(f"{options.target} one_request_at_the_limits: {'passed' if is_served else 'FAILED: status %d, %d bytes' % (status, len(body))}", flush=True)
+    return [] if is_served else ["refused"]
+
+
 REQUEST_CASES = [announced_far_over_limit, sent_far_over_limit, length_stops_short, large_chunks_stop_short, small_chunks_stop_short,
                  heads_stop_short, many_fields_body_stops_short, silent_connections]
-CASES = {"fleet": (FleetTarget, REQUEST_CASES + [unread_answers, unread_streams, unread_endless_answers]),
+CASES = {"fleet": (FleetTarget, REQUEST_CASES + [unread_answers, unread_streams, unread_endless_answers,
+                                                  one_request_at_the_limits]),
          "daemon": (DaemonTarget, REQUEST_CASES)}
 
 
@@ -404,6 +418,8 @@
         usage = Usage(target)
         if not await is_answered(target, MAX_ANSWER_S):
             raise stand_ins.CannotRun("no ordinary request is answered before the crowd comes")
+        if case is one_request_at_the_limits:
+            return await case(target, options)
         crowd = Crowd(target)
         begin_bytes = usage.peak_bytes()
         case(target, options.clients, crowd)
