Keep new requests out of availability zones that the operator evacuates

Nothing read the operator's rows that name a zone, so requests went to its runners for as long as it was evacuated. Entries follow these rows with the configuration and pass the complete view on in heartbeats with the store's revision; the newest view wins.

--- a/fleet/entry_context.cpp
+++ b/fleet/entry_context.cpp
@@ -1,6 +1,7 @@
 #include "fleet/entry_context.h"
 
 #include "fleet/event_log.h"
+#include "fleet/process_metrics.h"
 #include "fleet/request_relay.h"
 #include "fleet/request_totals.h"
 #include "fleet/steady_time.h"
@@ -158,6 +159,7 @@
     if (queue == m_queues.end())
         return;
     const time_point now = steadyNow();
+    rejectWaitingIfEvacuated(pool, queue->second, now);
     updateBacklog(pool, queue->second, now);
     for (const waiting_request& expired : queue->second.takeExpired(now)) {
         const auto relay = m_waiting[expired.ticket].lock();
@@ -203,6 +205,59 @@
     }
 }
 
+void entry_context::onEvacuationSnapshot(const std::vector<zone_evacuations::change>& rows, store_revision asOf)
+{
+    if (m_evacuations.onSnapshot(rows, asOf, steadyNow()))
+        applyEvacuations("store");
+}
+
+void entry_context::onEvacuationChanges(const std::vector<zone_evacuations::change>& changes, store_revision base, store_revision asOf)
+{
+    if (m_evacuations.onChanges(changes, base, asOf, steadyNow()))
+        applyEvacuations("store");
+}
+
+void entry_context::onPeerEvacuations(const zone_evacuation_view& view, const std::string& ip)
+{
+    if (m_evacuations.onView(view, steadyNow()))
+        applyEvacuations(ip.c_str());
+}
+
+void entry_context::removeExpiredEvacuations()
+{
+    if (m_evacuations.removeExpired(steadyNow()))
+        applyEvacuations("timeout");
+}
+
+void entry_context::applyEvacuations(const char* toldBy)
+{
+    const zone_evacuation_view view = m_evacuations.view(steadyNow());
+    std::string names;
+    for (const auto& entry : view.zones)
+        names += (names.empty() ? "" : ",") + entry.zone.value();
+    m_log.write("zones_evacuated", { { "zones", names }, { "epoch", static_cast<std::int64_t>(view.asOf.epoch.value()) }, { "revision", static_cast<std::int64_t>(view.asOf.revision.value()) }, { "told_by", toldBy } });
+    m_metrics.count("zones_evacuated");
+    m_runners.setEvacuatedZones(m_evacuations.zones());
+    if (m_onEvacuation)
+        m_onEvacuation();
+    dispatchWaiting();
+}
+
+void entry_context::rejectWaitingIfEvacuated(const pool_id& pool, admission_queue& queue, time_point now)
+{
+    if (queue.size() == 0 || !m_runners.isPoolEvacuated(pool))
+        return;
+    std::vector<std::weak_ptr<request_relay>> rejected;
+    while (const auto next = queue.takeNext(now)) {
+        rejected.push_back(m_waiting[next->ticket]);
+        m_waiting.erase(next->ticket);
+    }
+    for (const auto& request : rejected) {
+        if (const auto relay = request.lock())
+            relay->onNoFreeSlot();
+    }
+}
+
 void entry_context::onLimitUpdates(const std::vector<runner_limit_update>& all)
 {
     for (const runner_limit_update& update : all) {
--- a/fleet/entry_context.h
+++ b/fleet/entry_context.h
@@ -7,6 +7,7 @@
 #include "serving/recent_maximum.h"
 #include "serving/retry_budget_share.h"
 #include "serving/runner_directory.h"
+#include "serving/zone_evacuations.h"
 #include "state/ids.h"
 
 #include <cstdint>
@@ -92,6 +93,15 @@
     // Called when a runner's process says to this entry that it leaves, so that the others learn of it at once.
     void setLeavingHandler(std::function<void()> handler) { m_onLeaving = std::move(handler); }
 
+    // Evacuated availability zones. The first two take what the store says, see zone_evacuations; the third what another entry says.
+    const zone_evacuations& evacuations() const { return m_evacuations; }
+    void onEvacuationSnapshot(const std::vector<zone_evacuations::change>&, store_revision asOf);
+    void onEvacuationChanges(const std::vector<zone_evacuations::change>&, store_revision base, store_revision asOf);
+    void onPeerEvacuations(const zone_evacuation_view&, const std::string& ip);
+    void removeExpiredEvacuations();
+    // Called when the evacuated zones have changed, so that the other entries learn of it at once.
+    void setEvacuationHandler(std::function<void()> handler) { m_onEvacuation = std::move(handler); }
+
     // Limits that runners named in answers to another entry.
     void onLimitUpdates(const std::vector<runner_limit_update>&);
 
@@ -111,6 +121,10 @@
 
 private:
     void scheduleDispatch();
+    // Puts a change of the evacuated zones in force.
+    void applyEvacuations(const char* toldBy);
+    // Ends the requests of pools whose runners are all in evacuated zones.
+    void rejectWaitingIfEvacuated(const pool_id&, admission_queue&, time_point now);
     // Decides whether the runners of the pool should work off late requests in all their slots.
     void updateBacklog(const pool_id&, const admission_queue&, time_point now);
 
@@ -138,6 +152,8 @@
     boost::asio::steady_timer m_dispatchTimer;
     bool m_isDispatchScheduled = false;
     std::function<void()> m_onLeaving;
+    zone_evacuations m_evacuations;
+    std::function<void()> m_onEvacuation;
 };
 
 }
--- a/fleet/entry_peers.cpp
+++ b/fleet/entry_peers.cpp
@@ -60,6 +60,7 @@
         return false;
     m_entry.promptGuard().setEvidenceHandler([this] { sendVersions(); });
     m_entry.setLeavingHandler([this] { sendVersions(); });
+    m_entry.setEvacuationHandler([this] { sendVersions(); });
     tick();
     return true;
 }
@@ -67,6 +68,7 @@
 void entry_peers::tick()
 {
     removeSilent();
+    m_entry.removeExpiredEvacuations();
     updateFollowedRunners();
     m_arrivalsPerSecond = m_entry.demand().update(steadyNow());
     m_entry.runners().setDemandShare(m_entry.demand().share());
@@ -157,6 +159,7 @@
     heartbeat.runnerLimits = m_entry.runners().limitUpdates(steadyNow());
     heartbeat.promptParts = m_entry.promptGuard().evidence();
     heartbeat.leavingRunners = m_entry.runners().leavingRunners();
+    heartbeat.evacuations = m_entry.evacuations().view(steadyNow());
     const std::string bytes = encode(heartbeat);
     for (const auto& [ip, at] : m_entries) {
         if (const auto to = udpEndpoint(ip + ":0", m_settings.firstPeerPort + entryDatagramPortOffset))
@@ -268,6 +271,7 @@
     m_entry.promptGuard().onEvidence(heartbeat.promptParts);
     m_entry.onLimitUpdates(heartbeat.runnerLimits);
     m_entry.onLeavingRunners(heartbeat.leavingRunners);
+    m_entry.onPeerEvacuations(heartbeat.evacuations, ip);
     if (heartbeat.isStopping) {
         m_entries.erase(ip);
         m_entry.demand().removePeer(ip);
--- a/fleet/entry_process.cpp
+++ b/fleet/entry_process.cpp
@@ -25,6 +25,7 @@
 
 #include <algorithm>
 #include <map>
+#include <utility>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -121,6 +122,10 @@
     std::uint64_t appliedDigest = 0;
     bool hasRunnerList = false;
     bool isStopping = false;
+    // Other entries serve no rows of evacuations; those come with heartbeats.
+    bool isTakingPeerTable = false;
+    // What the rows of the operator's table were last complete up to.
+    store_revision operatorRevision;
     time_point stopStartedAt;
 
     bool start();
@@ -136,6 +141,7 @@
     void followConfiguration();
     void followRunners();
     void onConfigurationRows(const std::vector<platform::store_row>&);
+    void onEvacuationRows(const std::vector<platform::store_row>&, bool isFullSnapshot, store_revision);
     // Puts a configuration in force unless it is older than the one in force, as after a restore of the store.
     void takeConfiguration(const platform::store_row&, const std::shared_ptr<const serving_configuration>&);
     void onPeerTable(std::string_view table, const platform::store_response&, platform::table_follower&);
@@ -321,7 +327,9 @@
     // A peer may have a newer configuration than a restored store, whose revision is higher all the same.
     if (table == platform::configurationTable)
         onConfigurationRows(response.rows);
+    isTakingPeerTable = true;
     follower.offerSnapshot(response);
+    isTakingPeerTable = false;
 }
 
 bool entry_process::implementation::isReady() const
@@ -362,7 +370,10 @@
 void entry_process::implementation::followConfiguration()
 {
     platform::table_follower::hooks hooks = followerHooks("configuration");
-    hooks.rows = [this](const std::vector<platform::store_row>& rows, bool, store_revision) { onConfigurationRows(rows); };
+    hooks.rows = [this](const std::vector<platform::store_row>& rows, bool isFullSnapshot, store_revision revision) {
+        onConfigurationRows(rows);
+        onEvacuationRows(rows, isFullSnapshot, revision);
+    };
     platform::table_follower::settings followerSettings;
     followerSettings.table = std::string(platform::configurationTable);
     followerSettings.wait = configurationLongPollTimeout;
@@ -398,6 +409,26 @@
     }
 }
 
+void entry_process::implementation::onEvacuationRows(const std::vector<platform::store_row>& rows, bool isFullSnapshot, store_revision revision)
+{
+    const store_revision base = std::exchange(operatorRevision, revision);
+    if (isTakingPeerTable)
+        return;
+    std::vector<zone_evacuations::change> changes;
+    for (const platform::store_row& row : rows) {
+        if (row.key.starts_with(platform::evacuationKeyPrefix))
+            changes.push_back({ availability_zone_id(row.key.substr(platform::evacuationKeyPrefix.size())), row.revision, row.isRemoved });
+    }
+    if (isFullSnapshot) {
+        entry.onEvacuationSnapshot(changes, revision);
+        return;
+    }
+    // Rows between the known view and these changes may be missing after a table was read from another entry.
+    if (!entry.evacuations().isCompleteUpTo(base))
+        configurationFollower->requestFullRead();
+    entry.onEvacuationChanges(changes, base, revision);
+}
+
 void entry_process::implementation::takeConfiguration(const platform::store_row& row, const std::shared_ptr<const serving_configuration>& configuration)
 {
     const config_version known = entry.configurationVersion();
--- a/fleet/fleet_message.cpp
+++ b/fleet/fleet_message.cpp
@@ -55,6 +55,16 @@
         return all;
     }
 
+    std::vector<flatbuffers::Offset<wire::evacuated_zone>> createEvacuatedZones(const zone_evacuation_view& view) const
+    {
+        std::vector<flatbuffers::Offset<wire::evacuated_zone>> offsets;
+        for (const auto& entry : view.zones) {
+            offsets.push_back(wire::Createevacuated_zoneDirect(builder, entry.zone.value().c_str(), entry.writtenAt.epoch.value(), entry.writtenAt.revision.value(),
+                entry.timeLeft.has_value(), milliseconds(entry.timeLeft.value_or(duration {}))));
+        }
+        return offsets;
+    }
+
     void operator()(const entry_heartbeat_message& message) const
     {
         const member_offsets members = createMembers(message.members);
@@ -68,11 +78,13 @@
         std::vector<std::uint64_t> leavingRunners;
         for (const runner_process_id process : message.leavingRunners)
             leavingRunners.push_back(process.value());
+        const auto evacuatedZones = createEvacuatedZones(message.evacuations);
         const auto body = wire::Createentry_beatDirect(builder, message.daemon.value().c_str(), message.configuration.value(),
             message.runnerList.revision.value(), message.runnerDigest,
             milliseconds(message.runnerListAge), message.isStopping, message.group.value().c_str(), &members,
             message.expertsPerRank, message.newExpertsPerRank, static_cast<std::uint64_t>(message.expertCopyTime.count()), message.slots, &groups,
-            message.arrivalsPerSecond, &promptParts, &runnerLimits, message.runnerList.epoch.value(), &leavingRunners);
+            message.arrivalsPerSecond, &promptParts, &runnerLimits, message.runnerList.epoch.value(), &leavingRunners, &evacuatedZones,
+            message.evacuations.asOf.epoch.value(), message.evacuations.asOf.revision.value());
         finish(wire::datagram_body::entry_beat, body.Union());
     }
 
@@ -181,6 +193,16 @@
     return update;
 }
 
+zone_evacuation_view::zone_entry read(const wire::evacuated_zone& body)
+{
+    zone_evacuation_view::zone_entry entry;
+    entry.zone = availability_zone_id(text(body.zone()));
+    entry.writtenAt = { store_epoch(body.epoch()), row_revision(body.revision()) };
+    if (body.retained())
+        entry.timeLeft = std::chrono::milliseconds(body.left_ms());
+    return entry;
+}
+
 fleet_message read(const wire::entry_beat& body)
 {
     entry_heartbeat_message message;
@@ -209,6 +231,11 @@
         for (const std::uint64_t process : *body.leaving_runners())
             message.leavingRunners.emplace_back(process);
     }
+    message.evacuations.asOf = { store_epoch(body.evacuations_epoch()), row_revision(body.evacuations_revision()) };
+    if (body.evacuated_zones()) {
+        for (const auto* zone : *body.evacuated_zones())
+            message.evacuations.zones.push_back(read(*zone));
+    }
     if (body.prompt_parts()) {
         for (const auto* part : *body.prompt_parts())
             message.promptParts.push_back(read(*part));
--- a/fleet/fleet_message.h
+++ b/fleet/fleet_message.h
@@ -8,6 +8,7 @@
 #include "serving/prompt_part_evidence.h"
 #include "serving/rank_load.h"
 #include "serving/runner_limit_update.h"
+#include "serving/zone_evacuation_view.h"
 #include "state/ids.h"
 #include "state/store_revision.h"
 #include "state/time.h"
@@ -55,6 +56,8 @@
     std::vector<runner_limit_update> runnerLimits;
     // Runners' processes that have said in an answer that they leave. Empty for agents.
     std::vector<runner_process_id> leavingRunners;
+    // Availability zones that are evacuated, as far as the sender knows. Empty for agents.
+    zone_evacuation_view evacuations;
     // This and the fields below are set for agents whose group the entry knows. The members are the lowest ranks.
     group_id group;
     std::vector<member> members;
--- a/fleet/request_relay.cpp
+++ b/fleet/request_relay.cpp
@@ -145,6 +145,10 @@
     waiting.latestTimelyStart = m_arrivedAt + m_route->objective - timeToFirstByte;
     const time_point callerDisconnectsAt = isStream(m_route->retrySemantics) ? m_arrivedAt + m_route->callerIdleTimeout : m_deadline;
     waiting.latestStart = std::min(callerDisconnectsAt, m_deadline) - std::chrono::duration_cast<duration>(timeToFirstByte * timeToFirstByteMarginFactor);
+    if (m_context.runners().isPoolEvacuated(m_pool)) {
+        endUnserved("all zones of the pool are evacuated", std::nullopt);
+        return;
+    }
     if (!m_context.queueOf(m_pool).canServeInTime(waiting, m_context.freedSlotsPerSecond(m_pool), now)) {
         onNoFreeSlot();
         return;
--- a/serving/exclusion_reason.cpp
+++ b/serving/exclusion_reason.cpp
@@ -11,6 +11,8 @@
         return "awaiting_first_report";
     case exclusion_reason::Draining:
         return "draining";
+    case exclusion_reason::ZoneEvacuated:
+        return "zone_evacuated";
     case exclusion_reason::Leaving:
         return "leaving";
     case exclusion_reason::Replaced:
--- a/serving/exclusion_reason.h
+++ b/serving/exclusion_reason.h
@@ -9,6 +9,8 @@
     // The process is new, and its agent has not reported yet.
     AwaitingFirstReport,
     Draining,
+    // The operator has evacuated the runner's availability zone.
+    ZoneEvacuated,
     // The runner itself says that it leaves; the list may not say so yet.
     Leaving,
     // Another process listens on the runner's address.
--- a/serving/runner_directory.cpp
+++ b/serving/runner_directory.cpp
@@ -47,12 +47,6 @@
 // Used until a response of the pool has completed.
 constexpr double defaultServiceMs = 2000;
 
-// Whether the runner is one that goes on taking requests, though perhaps not at this moment.
-bool isStaying(const runner_record& record)
-{
-    return !record.listing.isDraining && !record.isLeaving && !record.isReplaced;
-}
-
 double smoothed(double before, double value)
 {
     return before + smoothingFactor * (value - before);
@@ -106,6 +100,24 @@
     return addresses;
 }
 
+bool runner_directory::isZoneEvacuated(const runner_record& record) const
+{
+    return m_evacuatedZones.contains(record.listing.zone);
+}
+
+bool runner_directory::isStaying(const runner_record& record) const
+{
+    return !record.listing.isDraining && !isZoneEvacuated(record) && !record.isLeaving && !record.isReplaced;
+}
+
+bool runner_directory::isPoolEvacuated(const pool_id& pool) const
+{
+    const auto members = m_byPool.find(pool);
+    if (members == m_byPool.end() || members->second.empty())
+        return false;
+    return std::all_of(members->second.begin(), members->second.end(), [&](const runner_id& id) { return isZoneEvacuated(m_runners.at(id)); });
+}
+
 void runner_directory::setEngine(const pool_id& pool, const std::optional<engine_profile>& engine)
 {
     m_engines[pool] = engine;
@@ -226,6 +238,8 @@
         return exclusion_reason::AwaitingFirstReport;
     if (record.listing.isDraining)
         return exclusion_reason::Draining;
+    if (isZoneEvacuated(record))
+        return exclusion_reason::ZoneEvacuated;
     if (record.isLeaving)
         return exclusion_reason::Leaving;
     if (record.isReplaced)
--- a/serving/runner_directory.h
+++ b/serving/runner_directory.h
@@ -47,6 +47,12 @@
     // usable.
     void setFollowed(const std::unordered_set<std::string>& addresses);
 
+    // Sets the availability zones whose runners get no new requests. Requests that run there go on.
+    void setEvacuatedZones(std::unordered_set<availability_zone_id> zones) { m_evacuatedZones = std::move(zones); }
+
+    // Whether the pool has runners and all of them are in evacuated zones, so that waiting for one is in vain.
+    bool isPoolEvacuated(const pool_id&) const;
+
     // Addresses of all runners in pools with an engine profile.
     std::vector<std::string> modelRunnerAddresses() const;
 
@@ -150,6 +156,9 @@
     // Runners of the pool that requests may be sent to now, without those of groups of which this entry uses its share.
     std::vector<const runner_record*> candidates(const pool_id&, time_point now) const;
     std::vector<const runner_record*> usableRunners(const pool_id&, time_point now) const;
+    bool isZoneEvacuated(const runner_record&) const;
+    // Whether the runner is one that goes on taking requests, though perhaps not at this moment.
+    bool isStaying(const runner_record&) const;
     bool isAwaitingFirstReport(const runner_record&, time_point now) const;
     bool isUsable(const runner_record&, time_point now) const;
     double smoothedPassMs(const group_id&) const;
@@ -172,6 +181,7 @@
     std::unordered_map<runner_id, runner_record> m_runners;
     std::unordered_map<pool_id, std::vector<runner_id>> m_byPool;
     std::unordered_map<runner_process_id, runner_id> m_byProcess;
+    std::unordered_set<availability_zone_id> m_evacuatedZones;
     // Addresses of this entry and of all live entries. Without them this entry is taken for the only one.
     std::string m_self;
     std::vector<std::string> m_entries;
--- /dev/null
+++ b/serving/zone_evacuation_view.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "state/ids.h"
+#include "state/store_revision.h"
+#include "state/time.h"
+
+#include <optional>
+#include <vector>
+
+namespace sardinelb {
+
+// All availability zones that are evacuated, complete as of one revision of the store. Entries exchange it.
+struct zone_evacuation_view {
+    struct zone_entry {
+        availability_zone_id zone;
+        // Revision of the operator's row, in the epoch in which it was written.
+        store_revision writtenAt;
+        // Set for a zone whose row a restored store has lost: how much longer it counts as evacuated.
+        std::optional<duration> timeLeft;
+
+        friend bool operator==(const zone_entry&, const zone_entry&) = default;
+    };
+
+    // Revision 0 means that nothing is known.
+    store_revision asOf;
+    std::vector<zone_entry> zones;
+
+    friend bool operator==(const zone_evacuation_view&, const zone_evacuation_view&) = default;
+};
+
+}
