Limit what all entries together send to a runner that may be cold

After a loss of all machines the first usable ranks got all requests, 67 in a second where the configuration and the settings allow 53; some crashed cold, and their group failed with them. runner_limit now has a second source beside the limit that a runner names: the configured rate of cold runners, shared by the entries known lately, or by as many as the limit bears while few are known. It starts with a process in the list, a statement of the list, of an answer or of another entry, a broken connection, a group that opens, or a zone that is taken back.

--- a/fleet/entry_context.cpp
+++ b/fleet/entry_context.cpp
@@ -11,6 +11,8 @@
 #include "serving/runner_response_head.h"
 #include "serving/serving_configuration.h"
 
+#include <algorithm>
+
 namespace sardinelb {
 
 namespace {
@@ -36,6 +38,7 @@
     , m_startedAt(steadyNow())
     , m_dispatchTimer(m_executor)
 {
+    m_runners.setProcessStart(m_startedAt);
     m_promptGuard.setRequestCheck([this] { forEachRequest([](request_relay& relay) { relay.onQuarantine(); }); });
 }
 
@@ -83,11 +86,22 @@
         return;
     m_routes = std::move(routes);
     for (const auto& [pool, profile] : m_routes->configuration().pools)
-        m_runners.setEngine(pool, profile.engine);
+        setProfile(profile);
     m_log.write("configuration", { { "version", static_cast<std::int64_t>(configurationVersion().value()) }, { "routes", static_cast<std::int64_t>(m_routes->configuration().routes.size()) } });
     dispatchWaiting();
 }
 
+void entry_context::setProfile(const runner_pool_profile& profile)
+{
+    m_runners.setEngine(profile.pool, profile.engine);
+    std::optional<warm_up_limit> warmUp;
+    if (profile.coldRequestsPerSecond > 0) {
+        const double maxPerSecond = std::max(1.0, profile.coldRequestsPerSecond * m_settings.coldOverrun + m_settings.coldSlack);
+        warmUp = warm_up_limit { profile.coldTime, profile.coldRequestsPerSecond, maxPerSecond };
+    }
+    m_runners.setWarmUp(profile.pool, warmUp, steadyNow());
+}
+
 void entry_context::setRunners(const std::vector<listed_runner>& runners)
 {
     m_runners.setRunners(runners, steadyNow());
@@ -98,7 +112,9 @@
 {
     m_recentEntries.add(addresses.size(), steadyNow());
     m_runners.setEntryCount(addresses.size());
+    m_warmUpEntries.onLiveEntries(addresses, steadyNow());
     m_runners.setEntries(m_settings.ip, std::move(addresses));
+    m_runners.setWarmUpEntries(m_warmUpEntries.addresses(), m_warmUpEntries.isSettled(steadyNow()));
 }
 
 retry_budget_share& entry_context::retryBudgetOf(const pool_id& pool)
@@ -190,6 +206,8 @@
         m_log.write("runner_pause", { { "runner", runner.value() }, { "for_ms", wholeMilliseconds(*head.pauseTime) } });
         m_runners.onPauseRequested(process, *head.pauseTime, steadyNow());
     }
+    if (head.coldTimeLeft)
+        onColdRunners({ { process, *head.coldTimeLeft } });
     if (!head.isLeaving || !m_runners.onLeaving(process))
         return;
     m_log.write("runner_leaving", { { "runner", runner.value() }, { "told_by", "answer" } });
@@ -205,6 +223,14 @@
     }
 }
 
+void entry_context::onColdRunners(const std::vector<cold_runner>& all)
+{
+    for (const cold_runner& cold : all) {
+        if (m_runners.onCold(cold, steadyNow()))
+            m_log.write("runner_cold", { { "process", static_cast<std::int64_t>(cold.process.value()) }, { "for_ms", wholeMilliseconds(cold.timeLeft) } });
+    }
+}
+
 void entry_context::onEvacuationSnapshot(const std::vector<zone_evacuations::change>& rows, store_revision asOf)
 {
     if (m_evacuations.onSnapshot(rows, asOf, steadyNow()))
@@ -237,7 +263,7 @@
         names += (names.empty() ? "" : ",") + entry.zone.value();
     m_log.write("zones_evacuated", { { "zones", names }, { "epoch", static_cast<std::int64_t>(view.asOf.epoch.value()) }, { "revision", static_cast<std::int64_t>(view.asOf.revision.value()) }, { "told_by", toldBy } });
     m_metrics.count("zones_evacuated");
-    m_runners.setEvacuatedZones(m_evacuations.zones());
+    m_runners.setEvacuatedZones(m_evacuations.zones(), steadyNow());
     if (m_onEvacuation)
         m_onEvacuation();
     dispatchWaiting();
--- a/fleet/entry_context.h
+++ b/fleet/entry_context.h
@@ -4,6 +4,7 @@
 #include "platform/settings.h"
 #include "serving/admission_queue.h"
 #include "serving/demand_share.h"
+#include "serving/recent_entries.h"
 #include "serving/recent_maximum.h"
 #include "serving/retry_budget_share.h"
 #include "serving/runner_directory.h"
@@ -28,6 +29,7 @@
 class request_relay;
 class route_index;
 struct request_totals;
+struct runner_pool_profile;
 struct runner_response_head;
 struct traffic_route;
 
@@ -93,6 +95,9 @@
     // Called when a runner's process says to this entry that it leaves, so that the others learn of it at once.
     void setLeavingHandler(std::function<void()> handler) { m_onLeaving = std::move(handler); }
 
+    // Runners' processes that have said to another entry, or in the list that it follows, that they are cold.
+    void onColdRunners(const std::vector<cold_runner>&);
+
     // Evacuated availability zones. The first two take what the store says, see zone_evacuations; the third what another entry says.
     const zone_evacuations& evacuations() const { return m_evacuations; }
     void onEvacuationSnapshot(const std::vector<zone_evacuations::change>&, store_revision asOf);
@@ -121,6 +126,8 @@
 
 private:
     void scheduleDispatch();
+    // Applies the configured properties of the runners of a pool.
+    void setProfile(const runner_pool_profile&);
     // Puts a change of the evacuated zones in force.
     void applyEvacuations(const char* toldBy);
     // Ends the requests of pools whose runners are all in evacuated zones.
@@ -148,6 +155,7 @@
     std::unordered_map<std::string, duration> m_maxCallerTimeouts;
     std::uint64_t m_lastTicket = 0;
     recent_maximum m_recentEntries;
+    recent_entries m_warmUpEntries;
     time_point m_startedAt;
     boost::asio::steady_timer m_dispatchTimer;
     bool m_isDispatchScheduled = false;
--- a/fleet/entry_peers.cpp
+++ b/fleet/entry_peers.cpp
@@ -159,6 +159,7 @@
     heartbeat.runnerLimits = m_entry.runners().limitUpdates(steadyNow());
     heartbeat.promptParts = m_entry.promptGuard().evidence();
     heartbeat.leavingRunners = m_entry.runners().leavingRunners();
+    heartbeat.coldRunners = m_entry.runners().coldRunners(steadyNow());
     heartbeat.evacuations = m_entry.evacuations().view(steadyNow());
     const std::string bytes = encode(heartbeat);
     for (const auto& [ip, at] : m_entries) {
@@ -271,6 +272,7 @@
     m_entry.promptGuard().onEvidence(heartbeat.promptParts);
     m_entry.onLimitUpdates(heartbeat.runnerLimits);
     m_entry.onLeavingRunners(heartbeat.leavingRunners);
+    m_entry.onColdRunners(heartbeat.coldRunners);
     m_entry.onPeerEvacuations(heartbeat.evacuations, ip);
     if (heartbeat.isStopping) {
         m_entries.erase(ip);
--- a/fleet/fleet_message.cpp
+++ b/fleet/fleet_message.cpp
@@ -78,13 +78,16 @@
         std::vector<std::uint64_t> leavingRunners;
         for (const runner_process_id process : message.leavingRunners)
             leavingRunners.push_back(process.value());
+        std::vector<wire::cold_runner> coldRunners;
+        for (const cold_runner& cold : message.coldRunners)
+            coldRunners.emplace_back(cold.process.value(), milliseconds(cold.timeLeft));
         const auto evacuatedZones = createEvacuatedZones(message.evacuations);
         const auto body = wire::Createentry_beatDirect(builder, message.daemon.value().c_str(), message.configuration.value(),
             message.runnerList.revision.value(), message.runnerDigest,
             milliseconds(message.runnerListAge), message.isStopping, message.group.value().c_str(), &members,
             message.expertsPerRank, message.newExpertsPerRank, static_cast<std::uint64_t>(message.expertCopyTime.count()), message.slots, &groups,
             message.arrivalsPerSecond, &promptParts, &runnerLimits, message.runnerList.epoch.value(), &leavingRunners, &evacuatedZones,
-            message.evacuations.asOf.epoch.value(), message.evacuations.asOf.revision.value());
+            message.evacuations.asOf.epoch.value(), message.evacuations.asOf.revision.value(), &coldRunners);
         finish(wire::datagram_body::entry_beat, body.Union());
     }
 
@@ -236,6 +239,10 @@
         for (const auto* zone : *body.evacuated_zones())
             message.evacuations.zones.push_back(read(*zone));
     }
+    if (body.cold_runners()) {
+        for (const auto* cold : *body.cold_runners())
+            message.coldRunners.push_back({ runner_process_id(cold->process()), std::chrono::milliseconds(cold->left_ms()) });
+    }
     if (body.prompt_parts()) {
         for (const auto* part : *body.prompt_parts())
             message.promptParts.push_back(read(*part));
--- a/fleet/fleet_message.h
+++ b/fleet/fleet_message.h
@@ -5,6 +5,7 @@
 #include "fleet/delegated_result_message.h"
 #include "fleet/demand_report_message.h"
 #include "fleet/demand_route_message.h"
+#include "serving/cold_runner.h"
 #include "serving/prompt_part_evidence.h"
 #include "serving/rank_load.h"
 #include "serving/runner_limit_update.h"
@@ -58,6 +59,8 @@
     std::vector<runner_process_id> leavingRunners;
     // Availability zones that are evacuated, as far as the sender knows. Empty for agents.
     zone_evacuation_view evacuations;
+    // Runners' processes that say that they are cold. Empty for agents.
+    std::vector<cold_runner> coldRunners;
     // This and the fields below are set for agents whose group the entry knows. The members are the lowest ranks.
     group_id group;
     std::vector<member> members;
--- a/serving/listed_runner.h
+++ b/serving/listed_runner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "state/ids.h"
+#include "state/time.h"
 
 #include <cstdint>
 #include <string>
@@ -21,6 +22,8 @@
     std::uint64_t startedAtMs = 0;
     // Number of the runner's report that this entry is from. Later reports of one process have higher numbers.
     std::uint64_t reportNumber = 0;
+    // How much longer the runner was cold when it wrote the entry.
+    duration coldTimeLeft {};
 
     friend bool operator==(const listed_runner&, const listed_runner&) = default;
 };
--- a/serving/runner_directory.cpp
+++ b/serving/runner_directory.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 namespace sardinelb {
 
@@ -47,6 +48,9 @@
 // Used until a response of the pool has completed.
 constexpr double defaultServiceMs = 2000;
 
+// What a cold runner bears is counted in windows of a second, here with a margin for timers that fire late.
+constexpr duration warmUpWindow = std::chrono::milliseconds(1050);
+
 double smoothed(double before, double value)
 {
     return before + smoothingFactor * (value - before);
@@ -74,7 +78,12 @@
             record = before->second;
         else if (before != m_runners.end())
             record.inFlight = before->second.inFlight;
+        const bool isNewReport = !isSameProcess || record.listing.reportNumber != listing.reportNumber;
         record.listing = listing;
+        if (!isSameProcess)
+            beginWarmUp(record, now);
+        if (isNewReport && listing.coldTimeLeft > duration {} && warmUpOf(listing.pool))
+            record.limit.onCold(now + listing.coldTimeLeft);
         record.isFollowed = !engineOf(listing.pool) || !m_followed || m_followed->contains(listing.address);
         m_byPool[listing.pool].push_back(listing.id);
         m_byProcess[processOf(listing)] = listing.id;
@@ -159,6 +168,7 @@
         // Failures while the group was forming say nothing about its present state.
         record->backoffUntil = {};
         record->consecutiveFailures = 0;
+        beginWarmUp(*record, now);
     }
     record->load = runner_record::load_sample { report.running + report.waiting, report.running, record->inFlight, now, report.pace, report.isGroupOpen };
     record->group = report.group;
@@ -248,7 +258,7 @@
         return exclusion_reason::BackingOff;
     if (now < record.pausedUntil)
         return exclusion_reason::PauseRequested;
-    if (record.limit.sendable(now) == 0U)
+    if (sendable(record, now) == 0U)
         return exclusion_reason::RateLimited;
     const bool isGroupClosed = record.load && !record.load->isGroupOpen && now - record.load->at <= maxBackoff;
     return isGroupClosed ? exclusion_reason::GroupNotOpen : exclusion_reason::None;
@@ -341,7 +351,7 @@
         const std::uint32_t limit = std::min(requestLimit(*record), 1000U);
         const std::uint32_t load = record->estimatedLoad(now);
         if (load < limit)
-            freeByGroup[record->group] += std::min(limit - load, record->limit.sendable(now).value_or(limit));
+            freeByGroup[record->group] += std::min(limit - load, sendable(*record, now).value_or(limit));
     }
     const auto groups = engine ? groupUse(pool, *engine, now) : std::unordered_map<group_id, group_use>();
     double total = 0;
@@ -462,12 +472,112 @@
         return;
     }
     const auto doubling = std::min<std::uint32_t>(record->consecutiveFailures++, 4);
+    // The runner may start again under its id before the list shows it.
+    beginWarmUp(*record, now);
     // A single lost response does not show that a runner is down; a refused connection does.
     if (failure == attempt_failure::OutcomeUnknown && doubling == 0)
         return;
     record->backoffUntil = now + std::min(initialBackoff * (1 << doubling), maxBackoff);
 }
 
+const warm_up_limit* runner_directory::warmUpOf(const pool_id& pool) const
+{
+    const auto known = m_warmUps.find(pool);
+    return known == m_warmUps.end() ? nullptr : &known->second;
+}
+
+void runner_directory::setWarmUp(const pool_id& pool, const std::optional<warm_up_limit>& limit, time_point now)
+{
+    if (limit)
+        m_warmUps[pool] = *limit;
+    else
+        m_warmUps.erase(pool);
+    for (auto& [id, record] : m_runners) {
+        if (record.listing.pool != pool)
+            continue;
+        updateWarmUpShare(record);
+        // Runners that were listed before the first configuration have not been taken for cold.
+        if (limit && now - record.listedAt < limit->time)
+            record.limit.extendWarmUp(record.listedAt + limit->time);
+    }
+}
+
+void runner_directory::setProcessStart(time_point at)
+{
+    m_warmUpStart = at + warmUpWindow;
+}
+
+void runner_directory::setWarmUpEntries(std::vector<std::string> addresses, bool isComplete)
+{
+    if (addresses == m_warmUpEntries && isComplete == m_areWarmUpEntriesComplete)
+        return;
+    m_warmUpEntries = std::move(addresses);
+    m_areWarmUpEntriesComplete = isComplete;
+    for (auto& [id, record] : m_runners)
+        updateWarmUpShare(record);
+}
+
+void runner_directory::updateWarmUpShare(runner_record& record) const
+{
+    const warm_up_limit* limit = warmUpOf(record.listing.pool);
+    if (!limit)
+        return;
+    record.limit.setWarmUpStart(m_warmUpStart);
+    const std::size_t position = followerPosition(record.listing.address, m_self, m_warmUpEntries);
+    record.limit.setWarmUpShare(m_areWarmUpEntriesComplete ? warmUpShare(*limit, position, m_warmUpEntries.size()) : carefulWarmUpShare(*limit));
+}
+
+void runner_directory::beginWarmUp(runner_record& record, time_point now) const
+{
+    const warm_up_limit* limit = warmUpOf(record.listing.pool);
+    if (!limit)
+        return;
+    updateWarmUpShare(record);
+    record.limit.extendWarmUp(now + limit->time);
+}
+
+bool runner_directory::onCold(const cold_runner& cold, time_point now)
+{
+    runner_record* record = findRecord(cold.process);
+    if (!record || !warmUpOf(record->listing.pool))
+        return false;
+    const bool isNews = !record->limit.isWarmingUp(now);
+    record->limit.onCold(now + cold.timeLeft);
+    return isNews;
+}
+
+std::vector<cold_runner> runner_directory::coldRunners(time_point now) const
+{
+    std::vector<cold_runner> all;
+    for (const auto& [process, id] : m_byProcess) {
+        if (const auto timeLeft = m_runners.at(id).limit.coldTimeLeft(now))
+            all.push_back({ process, *timeLeft });
+    }
+    return all;
+}
+
+std::size_t runner_directory::warmingUpCount(time_point now) const
+{
+    return static_cast<std::size_t>(std::count_if(m_runners.begin(), m_runners.end(), [&](const auto& entry) { return entry.second.limit.isWarmingUp(now); }));
+}
+
+std::optional<std::uint32_t> runner_directory::sendable(const runner_record& record, time_point now) const
+{
+    // A process that has started again under its id may not be listed yet; its agent shows that the known one is still there.
+    const bool isUnheard = engineOf(record.listing.pool) && warmUpOf(record.listing.pool) && !record.hasRecentLoad(now);
+    return isUnheard ? std::optional(record.limit.sendableWhenCold(now)) : record.limit.sendable(now);
+}
+
+void runner_directory::setEvacuatedZones(std::unordered_set<availability_zone_id> zones, time_point now)
+{
+    const auto before = std::exchange(m_evacuatedZones, std::move(zones));
+    for (auto& [id, record] : m_runners) {
+        // All entries turn to the idle runners of a zone at once, and these may have turned cold meanwhile.
+        if (before.contains(record.listing.zone) && !isZoneEvacuated(record))
+            beginWarmUp(record, now);
+    }
+}
+
 void runner_directory::setEntries(const std::string& self, std::vector<std::string> entries)
 {
     m_self = self;
--- a/serving/runner_directory.h
+++ b/serving/runner_directory.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "serving/attempt_failure.h"
+#include "serving/cold_runner.h"
 #include "serving/engine_profile.h"
 #include "serving/exclusion_reason.h"
 #include "serving/group_limit.h"
 #include "serving/listed_runner.h"
 #include "serving/rank_load.h"
 #include "serving/runner_record.h"
+#include "serving/warm_up_limit.h"
 #include "state/ids.h"
 #include "state/time.h"
 
@@ -33,6 +35,25 @@
     // Sets the engine profile of a pool. Runners of a pool without one accept any number of requests.
     void setEngine(const pool_id&, const std::optional<engine_profile>&);
 
+    // Sets what cold runners of the pool take. Nothing if they take as much as others.
+    void setWarmUp(const pool_id&, const std::optional<warm_up_limit>&, time_point now);
+
+    // Sets when this entry's process started. The one before may have sent requests until then.
+    void setProcessStart(time_point);
+
+    // Sets the addresses of all entries that may send to the same cold runners. Unless `isComplete`, there may be many more.
+    void setWarmUpEntries(std::vector<std::string> addresses, bool isComplete);
+
+    // Records that a runner's process says that it is cold, to this entry or another one. Returns whether that is news. Ignored for a
+    // process that is not listed.
+    bool onCold(const cold_runner&, time_point now);
+
+    // The processes that say that they are cold, for the other entries.
+    std::vector<cold_runner> coldRunners(time_point now) const;
+
+    // Number of runners that are cold, or that may be.
+    std::size_t warmingUpCount(time_point now) const;
+
     // Records a report of a runner's load. It includes the requests of all entries.
     void onLoadReport(const rank_load&, time_point now);
 
@@ -48,7 +69,7 @@
     void setFollowed(const std::unordered_set<std::string>& addresses);
 
     // Sets the availability zones whose runners get no new requests. Requests that run there go on.
-    void setEvacuatedZones(std::unordered_set<availability_zone_id> zones) { m_evacuatedZones = std::move(zones); }
+    void setEvacuatedZones(std::unordered_set<availability_zone_id>, time_point now);
 
     // Whether the pool has runners and all of them are in evacuated zones, so that waiting for one is in vain.
     bool isPoolEvacuated(const pool_id&) const;
@@ -170,6 +191,13 @@
     runner_record* findRecord(runner_process_id);
     void recordFailure(const runner_id&, attempt_failure, time_point now);
     void updateLimitPosition(runner_record&) const;
+    // What cold runners of the pool take. Null if nothing is configured.
+    const warm_up_limit* warmUpOf(const pool_id&) const;
+    // The runner may have started at this moment, or turned cold unnoticed.
+    void beginWarmUp(runner_record&, time_point now) const;
+    void updateWarmUpShare(runner_record&) const;
+    // Number of requests that the limits of the runner let this entry send now. Nothing if there is no limit.
+    std::optional<std::uint32_t> sendable(const runner_record&, time_point now) const;
     // Rate at which a runner takes requests that would take `requestsPerSecond` without a limit.
     static double limitedRate(const runner_record&, double requestsPerSecond);
 
@@ -185,6 +213,10 @@
     // Addresses of this entry and of all live entries. Without them this entry is taken for the only one.
     std::string m_self;
     std::vector<std::string> m_entries;
+    std::unordered_map<pool_id, warm_up_limit> m_warmUps;
+    std::vector<std::string> m_warmUpEntries;
+    time_point m_warmUpStart;
+    bool m_areWarmUpEntriesComplete = false;
     // Also contains the pools without an engine.
     std::unordered_map<pool_id, std::optional<engine_profile>> m_engines;
     std::unordered_map<group_id, group_limit> m_groups;
--- a/serving/runner_limit.cpp
+++ b/serving/runner_limit.cpp
@@ -82,15 +82,44 @@
     return m_limit && !isForgotten;
 }
 
-std::optional<std::uint32_t> runner_limit::sendable(time_point now) const
+void runner_limit::extendWarmUp(time_point until)
+{
+    m_warmUpUntil = std::max(m_warmUpUntil, until);
+}
+
+void runner_limit::onCold(time_point until)
+{
+    m_coldUntil = std::max(m_coldUntil, until);
+    extendWarmUp(until);
+}
+
+std::optional<duration> runner_limit::coldTimeLeft(time_point now) const
+{
+    return now < m_coldUntil ? std::optional(m_coldUntil - now) : std::nullopt;
+}
+
+std::optional<std::uint32_t> runner_limit::sendableByNamedLimit(time_point now) const
 {
     if (!isInForce(now))
         return std::nullopt;
     return static_cast<std::uint32_t>(std::max(0.0, tokensAt(now)));
 }
 
+std::optional<std::uint32_t> runner_limit::sendable(time_point now) const
+{
+    return isWarmingUp(now) ? std::optional(sendableWhenCold(now)) : sendableByNamedLimit(now);
+}
+
+std::uint32_t runner_limit::sendableWhenCold(time_point now) const
+{
+    const bool isDue = !m_lastSentAt || std::chrono::duration<double>(now - *m_lastSentAt).count() * m_warmUpShare >= 1;
+    const std::uint32_t whenCold = isDue && m_warmUpShare > 0 && now >= m_warmUpStart ? 1 : 0;
+    return std::min(whenCold, sendableByNamedLimit(now).value_or(whenCold));
+}
+
 void runner_limit::onSent(time_point now)
 {
+    m_lastSentAt = now;
     if (!m_limit)
         return;
     m_tokens = tokensAt(now) - 1;
--- a/serving/runner_limit.h
+++ b/serving/runner_limit.h
@@ -9,8 +9,12 @@
 
 namespace sardinelb {
 
-// The limit that a runner names, and the part of it that one entry may use. All entries together stay within the limit: a few of them
-// use the runner, more with a higher limit, each with an equal part and hardly saving up for a burst. Pure state machine.
+// The rate that a runner takes from all entries together, and the part of it that one entry may use. It has two sources, of which the
+// lower one counts: the limit that the runner names in its answers, and the rate at which it takes requests while it is cold.
+//
+// All entries together stay within a named limit: a few of them use the runner, more with a higher limit, each with an equal part and
+// hardly saving up for a burst. While the runner is cold, each entry sends evenly spaced requests. Handles runners that come back cold
+// all at once, and entries that have just started. Pure state machine.
 class runner_limit {
 public:
     // An answer to this entry named this limit, or none.
@@ -22,11 +26,31 @@
     // Sets the position of this entry among those that may use the runner, from 0, in an order on which all entries agree.
     void setPosition(std::size_t position, std::size_t entryCount);
 
+    // The runner may be cold until then. Never shortens a warm-up.
+    void extendWarmUp(time_point until);
+
+    // The same, as the runner itself says, which the other entries are told.
+    void onCold(time_point until);
+
+    // Before this time the runner gets nothing while it is cold: a process of this entry that has ended may have sent it something.
+    void setWarmUpStart(time_point notBefore) { m_warmUpStart = notBefore; }
+
+    // Sets what this entry may send the runner while it is cold, in requests a second. See warm_up_limit.h.
+    void setWarmUpShare(double requestsPerSecond) { m_warmUpShare = requestsPerSecond; }
+
+    bool isWarmingUp(time_point now) const { return now < m_warmUpUntil; }
+
+    // How much longer the runner is cold by its own word. Nothing if it is not.
+    std::optional<duration> coldTimeLeft(time_point now) const;
+
     void onSent(time_point now);
 
     // Number of requests that this entry may send now. Nothing if there is no limit.
     std::optional<std::uint32_t> sendable(time_point now) const;
 
+    // The same for a runner that is cold, or of which it isn't known.
+    std::uint32_t sendableWhenCold(time_point now) const;
+
     // The limit that was named last, for all entries together.
     const std::optional<double>& requestsPerSecond() const { return m_limit; }
 
@@ -35,6 +59,7 @@
 
 private:
     bool isInForce(time_point now) const;
+    std::optional<std::uint32_t> sendableByNamedLimit(time_point now) const;
     // Requests a second that this entry may send.
     double ownRate() const;
     double tokensAt(time_point now) const;
@@ -51,6 +76,12 @@
     std::size_t m_entryCount = 1;
     double m_tokens = 0;
     time_point m_tokensAt;
+    time_point m_warmUpUntil;
+    // The part of the warm-up that the runner itself has stated.
+    time_point m_coldUntil;
+    double m_warmUpShare = 0;
+    time_point m_warmUpStart;
+    std::optional<time_point> m_lastSentAt;
 };
 
 }
--- a/serving/runner_response_head.h
+++ b/serving/runner_response_head.h
@@ -27,6 +27,8 @@
     bool isLeaving = false;
     // How long a runner that rejected the request wants nothing from this entry. Bounded. Nothing if it does not say.
     std::optional<duration> pauseTime;
+    // How much longer the runner says that it is cold. Bounded. Nothing if it does not say.
+    std::optional<duration> coldTimeLeft;
     // Names of fields whose values cannot be read, for the log.
     std::vector<std::string> unreadableFields;
     // Header lines to forward to the caller, each with its line end, without the hop-by-hop fields.
--- a/tests/fleet/zone_evacuations_test.cpp
+++ b/tests/fleet/zone_evacuations_test.cpp
@@ -129,7 +129,7 @@
     {
         m_directory.setEngine(m_pool, std::nullopt);
         m_directory.setRunners({ runnerIn("a"), runnerIn("b") }, m_now);
-        m_directory.setEvacuatedZones({ availability_zone_id("a") });
+        m_directory.setEvacuatedZones({ availability_zone_id("a") }, m_now);
     }
 
     static listed_runner runnerIn(const std::string& zone)
@@ -159,11 +159,11 @@
 
 TEST_F(evacuated_runner_choice, allZonesEvacuated_noRunner)
 {
-    m_directory.setEvacuatedZones({ availability_zone_id("a"), availability_zone_id("b") });
+    m_directory.setEvacuatedZones({ availability_zone_id("a"), availability_zone_id("b") }, m_now);
     EXPECT_FALSE(m_directory.choose(m_pool, {}, m_now));
     EXPECT_TRUE(m_directory.isPoolEvacuated(m_pool));
     EXPECT_EQ(m_directory.freeSlots(m_pool, m_now), 0U);
-    m_directory.setEvacuatedZones({});
+    m_directory.setEvacuatedZones({}, m_now);
     EXPECT_TRUE(m_directory.choose(m_pool, {}, m_now));
 }
 
