Count a crash against the prompts of the rank that crashed only

A crash of one rank ends its whole group, and cold or overrun runners crash without the help of a prompt, yet all requests that waited there were suspected: prompts without fault were quarantined. Crashes of further ranks while the group cannot run, and crashes of cold or overrun runners, are no evidence any more, and their requests may be tried again.

--- a/fleet/crash_detector.cpp
+++ b/fleet/crash_detector.cpp
@@ -2,7 +2,6 @@
 
 #include "fleet/steady_time.h"
 #include "relay/endpoint.h"
-#include "serving/listed_runner.h"
 
 #include <chrono>
 #include <memory>
@@ -44,15 +43,15 @@
 {
 }
 
-void crash_detector::onAttemptBroken(const listed_runner& runner, const std::vector<prompt_part_id>& parts, receiver onResult)
+void crash_detector::onAttemptBroken(const std::string& address, const runner_crash& crash, receiver onResult)
 {
     removeExpired(steadyNow());
-    const runner_process_id process = processOf(runner);
+    const runner_process_id process = crash.process;
     const auto [known, isNew] = m_suspicions.try_emplace(process);
-    known->second.pending.push_back({ { process, runner.id, runner.pool, parts }, std::move(onResult) });
+    known->second.pending.push_back({ crash, std::move(onResult) });
     if (isNew) {
         known->second.startedAt = steadyNow();
-        probe(runner.address, process);
+        probe(address, process);
     } else if (known->second.hasEnded) {
         asio::post(m_executor, [this, process] { onProbed(process, true); });
     }
@@ -90,12 +89,11 @@
     else
         m_suspicions.erase(known);
     // All evidence is recorded before the first request goes on.
-    if (hasEnded) {
-        for (const broken_attempt& attempt : pending)
-            m_hooks.onCrash(attempt.crash);
-    }
-    for (const broken_attempt& attempt : pending)
-        attempt.onResult(hasEnded);
+    std::vector<outcome> outcomes(pending.size(), outcome::Running);
+    for (std::size_t i = 0; hasEnded && i < pending.size(); ++i)
+        outcomes[i] = m_hooks.onCrash(pending[i].crash) ? outcome::EndedByRequest : outcome::Ended;
+    for (std::size_t i = 0; i < pending.size(); ++i)
+        pending[i].onResult(outcomes[i]);
 }
 
 void crash_detector::removeExpired(time_point now)
--- a/fleet/prompt_guard.cpp
+++ b/fleet/prompt_guard.cpp
@@ -3,6 +3,7 @@
 #include "fleet/event_log.h"
 #include "fleet/process_metrics.h"
 #include "fleet/steady_time.h"
+#include "serving/listed_runner.h"
 #include "serving/prompt_parts.h"
 
 #include <boost/asio/post.hpp>
@@ -13,7 +14,7 @@
     : m_executor(std::move(executor))
     , m_log(log)
     , m_metrics(metrics)
-    , m_detector(m_executor, { [this](const runner_crash& crash) { onCrash(crash); } })
+    , m_detector(m_executor, { [this](const runner_crash& crash) { return onCrash(crash); } })
     , m_quarantine(std::move(random))
 {
 }
@@ -28,14 +29,14 @@
     return m_quarantine.isSuspect(pool, parts);
 }
 
-void prompt_guard::onAttemptBroken(const listed_runner& runner, const std::vector<prompt_part_id>& parts, crash_detector::receiver onResult)
+void prompt_guard::onAttemptBroken(const std::string& address, const runner_crash& crash, crash_detector::receiver onResult)
 {
-    m_detector.onAttemptBroken(runner, parts, std::move(onResult));
+    m_detector.onAttemptBroken(address, crash, std::move(onResult));
 }
 
-void prompt_guard::checkRunner(const listed_runner& runner, crash_detector::receiver onResult)
+void prompt_guard::checkRunner(const listed_runner& runner, std::function<void(bool hasEnded)> onResult)
 {
-    m_detector.onAttemptBroken(runner, {}, std::move(onResult));
+    m_detector.onAttemptBroken(runner.address, { processOf(runner), runner.id, runner.pool, {} }, [onResult = std::move(onResult)](crash_detector::outcome outcome) { onResult(outcome != crash_detector::outcome::Running); });
 }
 
 std::vector<prompt_part_evidence> prompt_guard::evidence() const
@@ -43,15 +44,19 @@
     return m_quarantine.evidence(steadyNow());
 }
 
-void prompt_guard::onCrash(const runner_crash& crash)
+bool prompt_guard::onCrash(const runner_crash& crash)
 {
     if (crash.promptParts.empty())
-        return;
-    m_log.write("runner_crashed", { { "runner", crash.runner.value() }, { "pool", crash.pool.value() }, { "prompt_parts", describe(crash.promptParts) } });
+        return false;
+    const bool isEvidence = m_attribution.isEvidence(crash, steadyNow());
+    m_log.write("runner_crashed", { { "runner", crash.runner.value() }, { "pool", crash.pool.value() }, { "prompt_parts", describe(crash.promptParts) }, { "group", crash.group.value() }, { "cold", crash.isCold }, { "overrun", crash.isOverrun }, { "evidence", isEvidence } });
     m_metrics.count("runner_crashed");
+    if (!isEvidence)
+        return false;
     m_quarantine.onCrash(crash, steadyNow());
     applyQuarantines();
     scheduleEvidence();
+    return true;
 }
 
 void prompt_guard::scheduleEvidence()
--- a/fleet/prompt_guard.h
+++ b/fleet/prompt_guard.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "fleet/crash_detector.h"
+#include "serving/crash_attribution.h"
 #include "serving/prompt_quarantine.h"
 #include "state/ids.h"
 #include "state/time.h"
 
 #include <functional>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -15,6 +17,7 @@
 
 class event_log;
 class process_metrics;
+struct listed_runner;
 
 // Keeps requests with prompt parts that crash runners away from the runners of one entry: finds the crashes, decides on quarantines,
 // and ends the requests that a new quarantine concerns.
@@ -37,18 +40,19 @@
     void onSent(const pool_id&, const std::vector<prompt_part_id>&);
     void onAnswer(const pool_id&, const std::vector<prompt_part_id>&);
 
-    // The connection to a runner broke before an answer began. The receiver learns whether the runner has ended.
-    void onAttemptBroken(const listed_runner&, const std::vector<prompt_part_id>&, crash_detector::receiver);
+    // The connection to a runner broke before an answer began. See crash_detector.
+    void onAttemptBroken(const std::string& address, const runner_crash&, crash_detector::receiver);
 
     // The receiver learns whether the runner's process has ended. Nothing is held against a prompt.
-    void checkRunner(const listed_runner&, crash_detector::receiver);
+    void checkRunner(const listed_runner&, std::function<void(bool hasEnded)>);
 
     // Evidence for the other entries, and from them.
     std::vector<prompt_part_evidence> evidence() const;
     void onEvidence(const std::vector<prompt_part_evidence>&);
 
 private:
-    void onCrash(const runner_crash&);
+    // Returns whether the request may be the cause.
+    bool onCrash(const runner_crash&);
     void scheduleEvidence();
     // Logs new quarantines and ends the requests that they concern.
     void applyQuarantines();
@@ -57,6 +61,7 @@
     event_log& m_log;
     process_metrics& m_metrics;
     crash_detector m_detector;
+    crash_attribution m_attribution;
     prompt_quarantine m_quarantine;
     std::function<void()> m_onEvidence;
     std::function<void(const prompt_part_evidence&)> m_onQuarantine;
--- a/fleet/request_relay.h
+++ b/fleet/request_relay.h
@@ -26,6 +26,8 @@
 struct failover_context;
 struct http_response_head;
 struct request_totals;
+struct runner_crash;
+struct runner_record;
 struct traffic_route;
 
 // Relays one caller's request: queues it until a runner has a free slot, sends it, retries it at another runner after a failure
@@ -86,8 +88,9 @@
     void dropResponse();
     // Whether an attempt that failed may have ended its runner, or lost it before its answer began.
     bool mayRunnerHaveCrashed(attempt_failure) const;
-    failover_context failoverContext(attempt_failure, bool hasRunnerCrashed);
-    void retryOrFail(attempt_failure, const char* why, bool hasRunnerCrashed);
+    failover_context failoverContext(attempt_failure, bool hasCrashedRunner);
+    // `hasCrashedRunner` tells that the runner has ended and that this request may be the cause.
+    void retryOrFail(attempt_failure, const char* why, bool hasCrashedRunner);
     // Ends the request without another attempt.
     void endUnserved(const char* why, std::optional<duration> retryAfter);
     std::optional<duration> quarantineLeft() const;
@@ -99,7 +102,9 @@
     // Continues a silent stream at another runner, if that is allowed. The silent attempt is kept until another one delivers an
     // event, because a runner's silence alone does not end a stream.
     void onSilence();
-    void onSilentRunnerEnded();
+    // What is known of this request if the runner of its attempt has crashed.
+    runner_crash possibleCrash(const runner_record&) const;
+    void onSilentRunnerEnded(bool isByRequest);
     void continueElsewhere();
     std::vector<runner_attempt>::iterator findSilentAttempt(std::uint32_t number);
     void onSilentBody(std::uint32_t number, std::string_view);
--- a/fleet/request_relay_failover.cpp
+++ b/fleet/request_relay_failover.cpp
@@ -5,6 +5,7 @@
 #include "fleet/steady_time.h"
 #include "relay/http_server_connection.h"
 #include "serving/failover_action.h"
+#include "serving/runner_crash.h"
 #include "serving/traffic_route.h"
 
 #include <algorithm>
@@ -49,22 +50,31 @@
         continueElsewhere();
         return;
     }
-    m_context.promptGuard().onAttemptBroken(record->listing, m_request.promptParts, [self = shared_from_this(), number = m_attempt.number](bool hasEnded) {
+    m_context.promptGuard().onAttemptBroken(record->listing.address, possibleCrash(*record), [self = shared_from_this(), number = m_attempt.number](crash_detector::outcome outcome) {
         if (!self->isCurrent(number) || !self->m_attempt.exchange || self->m_attempt.isEndUnconfirmed || !self->isSilent())
             return;
-        if (hasEnded)
-            self->onSilentRunnerEnded();
-        else
+        if (outcome == crash_detector::outcome::Running)
             self->continueElsewhere();
+        else
+            self->onSilentRunnerEnded(outcome == crash_detector::outcome::EndedByRequest);
     });
 }
 
-void request_relay::onSilentRunnerEnded()
+runner_crash request_relay::possibleCrash(const runner_record& record) const
+{
+    const runner_directory& runners = m_context.runners();
+    const time_point now = steadyNow();
+    // The record may be that of the next process already.
+    const bool isKnown = processOf(record.listing) == m_attempt.process;
+    return { m_attempt.process, m_attempt.runner, m_pool, m_request.promptParts, record.group, isKnown && runners.isCold(record, now), isKnown && runners.isOverrun(record, now) };
+}
+
+void request_relay::onSilentRunnerEnded(bool isByRequest)
 {
     cancelExchange();
     dropResponse();
     m_context.runners().onAttemptAbandoned(m_attempt.runner);
-    retryOrFail(attempt_failure::OutcomeUnknown, "runner ended without closing the connection", true);
+    retryOrFail(attempt_failure::OutcomeUnknown, "runner ended without closing the connection", isByRequest);
 }
 
 void request_relay::continueElsewhere()
@@ -212,9 +222,9 @@
     const bool isCrashPossible = record && mayRunnerHaveCrashed(failure);
     if (isCrashPossible) {
         m_mayHaveRun = true;
-        m_context.promptGuard().onAttemptBroken(record->listing, m_request.promptParts, [self = shared_from_this(), number = m_attempt.number, failure, why](bool hasEnded) {
+        m_context.promptGuard().onAttemptBroken(record->listing.address, possibleCrash(*record), [self = shared_from_this(), number = m_attempt.number, failure, why](crash_detector::outcome outcome) {
             if (!self->m_isFinished && self->isCurrent(number))
-                self->retryOrFail(failure, why, hasEnded);
+                self->retryOrFail(failure, why, outcome == crash_detector::outcome::EndedByRequest);
         });
     }
     m_context.runners().onAttemptFailed(m_attempt.runner, failure, steadyNow());
@@ -227,7 +237,7 @@
     return failure == attempt_failure::OutcomeUnknown && !m_attempt.hasAnswered && !m_request.promptParts.empty();
 }
 
-failover_context request_relay::failoverContext(attempt_failure failure, bool hasRunnerCrashed)
+failover_context request_relay::failoverContext(attempt_failure failure, bool hasCrashedRunner)
 {
     const time_point now = steadyNow();
     failover_context failover;
@@ -238,13 +248,13 @@
     failover.attemptsSent = m_attemptsSent;
     failover.maxAttempts = m_route->maxAttempts;
     failover.attemptsNotRun = m_attemptsNotRun;
-    failover.mayCrashRunners = hasRunnerCrashed && m_context.promptGuard().isSuspect(m_pool, m_request.promptParts);
+    failover.mayCrashRunners = hasCrashedRunner && m_context.promptGuard().isSuspect(m_pool, m_request.promptParts);
     failover.retryAllowed = m_context.retryBudgetOf(m_pool).canRetry(m_context.entriesSharingRetries(), now);
     failover.timeLeft = timeLeft(now);
     return failover;
 }
 
-void request_relay::retryOrFail(attempt_failure failure, const char* why, bool hasRunnerCrashed)
+void request_relay::retryOrFail(attempt_failure failure, const char* why, bool hasCrashedRunner)
 {
     const time_point now = steadyNow();
     // Only attempts that may have run count toward the route's limit; a request that was not run may go to another runner.
@@ -253,9 +263,9 @@
         --m_attemptsSent;
     }
     m_mayHaveRun = m_mayHaveRun || !wasNotRun(failure);
-    const failover_context failover = failoverContext(failure, hasRunnerCrashed);
+    const failover_context failover = failoverContext(failure, hasCrashedRunner);
     const failover_action action = chooseFailoverAction(failover);
-    m_context.log().write("attempt_failed", { { "request", m_request.attemptId }, { "runner", m_attempt.runner.value() }, { "failure", nameOf(failure) }, { "why", why }, { "after_ms", wholeMilliseconds(now - m_attempt.sentAt) }, { "sent", static_cast<std::int64_t>(m_attemptsSent) }, { "answer_begun", m_attempt.hasReceivedEvent }, { "runner_ended", hasRunnerCrashed }, { "retry_allowed", failover.retryAllowed }, { "again", action == failover_action::TryAnother } });
+    m_context.log().write("attempt_failed", { { "request", m_request.attemptId }, { "runner", m_attempt.runner.value() }, { "failure", nameOf(failure) }, { "why", why }, { "after_ms", wholeMilliseconds(now - m_attempt.sentAt) }, { "sent", static_cast<std::int64_t>(m_attemptsSent) }, { "answer_begun", m_attempt.hasReceivedEvent }, { "may_have_crashed_runner", hasCrashedRunner }, { "retry_allowed", failover.retryAllowed }, { "again", action == failover_action::TryAnother } });
     if (action != failover_action::TryAnother && waitForSilentAttempt())
         return;
     switch (action) {
--- a/serving/runner_crash.h
+++ b/serving/runner_crash.h
@@ -13,6 +13,11 @@
     pool_id pool;
     // Parts of the request's prompt.
     std::vector<prompt_part_id> promptParts;
+    // Group of the runner. Empty if it has none, or none is known.
+    group_id group {};
+    // Whether the runner was cold, or held more requests than it can queue, so that it may have crashed without the help of a prompt.
+    bool isCold = false;
+    bool isOverrun = false;
 };
 
 }
--- a/serving/runner_directory.cpp
+++ b/serving/runner_directory.cpp
@@ -51,6 +51,9 @@
 // What a cold runner bears is counted in windows of a second, here with a margin for timers that fire late.
 constexpr duration warmUpWindow = std::chrono::milliseconds(1050);
 
+// A runner with this many times the requests that it runs at once is far beyond what entries send it on purpose.
+constexpr std::uint32_t overrunFactor = 3;
+
 double smoothed(double before, double value)
 {
     return before + smoothingFactor * (value - before);
@@ -556,6 +559,18 @@
     return all;
 }
 
+bool runner_directory::isCold(const runner_record& record, time_point now) const
+{
+    const warm_up_limit* limit = warmUpOf(record.listing.pool);
+    return limit && (now - record.listedAt < limit->time || record.limit.coldTimeLeft(now));
+}
+
+bool runner_directory::isOverrun(const runner_record& record, time_point now) const
+{
+    const engine_profile* engine = engineOf(record.listing.pool);
+    return engine && record.estimatedLoad(now) > overrunFactor * engine->slots;
+}
+
 std::size_t runner_directory::warmingUpCount(time_point now) const
 {
     return static_cast<std::size_t>(std::count_if(m_runners.begin(), m_runners.end(), [&](const auto& entry) { return entry.second.limit.isWarmingUp(now); }));
--- a/serving/runner_directory.h
+++ b/serving/runner_directory.h
@@ -51,6 +51,12 @@
     // The processes that say that they are cold, for the other entries.
     std::vector<cold_runner> coldRunners(time_point now) const;
 
+    // Whether the process has started lately or says that it is cold, in a pool whose cold runners crash if they get too much.
+    bool isCold(const runner_record&, time_point now) const;
+
+    // Whether a model runner has more requests than it can run and queue without harm.
+    bool isOverrun(const runner_record&, time_point now) const;
+
     // Number of runners that are cold, or that may be.
     std::size_t warmingUpCount(time_point now) const;
 
