Keep requests from ranks that an entry does not follow while all groups are closed

While the groups of the followed ranks were forming, an entry turned to the ranks that it does not follow, whose groups were closed as well. The last reports of a pool decide for ranks without one.

--- a/serving/runner_directory.cpp
+++ b/serving/runner_directory.cpp
@@ -25,6 +25,9 @@
 // Passes up to this duration do not raise the score of a group.
 constexpr double neutralPassMs = 60;
 
+// Agents report ten times a second. If none has reported an open group for this long while others report, all groups are closed.
+constexpr duration openReportLifetime = std::chrono::milliseconds(300);
+
 // Agents report to an entry within 0.2 s after it learned of a new process. After this time the runner is used without a
 // load report, since its agent may be down.
 constexpr duration firstReportTimeout = std::chrono::milliseconds(800);
@@ -166,6 +169,8 @@
         return;
     const bool isOtherProcess = report.startedAtMs != 0 && record->listing.startedAtMs != 0 && report.startedAtMs != record->listing.startedAtMs;
     record->isReplaced = record->isReplaced || isOtherProcess;
+    pool_reports& reports = m_reports[record->listing.pool];
+    (report.isGroupOpen ? reports.openAt : reports.closedAt) = now;
     const bool hasGroupOpened = report.isGroupOpen && (!record->load || !record->load->isGroupOpen);
     if (hasGroupOpened) {
         // Failures while the group was forming say nothing about its present state.
@@ -263,8 +268,19 @@
         return exclusion_reason::PauseRequested;
     if (sendable(record, now) == 0U)
         return exclusion_reason::RateLimited;
-    const bool isGroupClosed = record.load && !record.load->isGroupOpen && now - record.load->at <= maxBackoff;
-    return isGroupClosed ? exclusion_reason::GroupNotOpen : exclusion_reason::None;
+    return isGroupClosed(record, now) ? exclusion_reason::GroupNotOpen : exclusion_reason::None;
+}
+
+bool runner_directory::isGroupClosed(const runner_record& record, time_point now) const
+{
+    if (record.load && now - record.load->at <= maxBackoff)
+        return !record.load->isGroupOpen;
+    // Without this, entries would turn to the ranks that they don't follow while all groups are forming.
+    const auto known = m_reports.find(record.listing.pool);
+    if (known == m_reports.end())
+        return false;
+    const pool_reports& reports = known->second;
+    return now - reports.closedAt <= maxBackoff && reports.closedAt - reports.openAt > openReportLifetime;
 }
 
 bool runner_directory::isUsable(const runner_record& record, time_point now) const
--- a/serving/runner_directory.h
+++ b/serving/runner_directory.h
@@ -186,6 +186,8 @@
     bool isZoneEvacuated(const runner_record&) const;
     // Whether the runner is one that goes on taking requests, though perhaps not at this moment.
     bool isStaying(const runner_record&) const;
+    // Whether the runner's group cannot run a request, by the last report of the runner or, without one, of all others of its pool.
+    bool isGroupClosed(const runner_record&, time_point now) const;
     bool isAwaitingFirstReport(const runner_record&, time_point now) const;
     bool isUsable(const runner_record&, time_point now) const;
     double smoothedPassMs(const group_id&) const;
@@ -219,6 +221,12 @@
     // Addresses of this entry and of all live entries. Without them this entry is taken for the only one.
     std::string m_self;
     std::vector<std::string> m_entries;
+    // Last reports from open groups and from others.
+    struct pool_reports {
+        time_point openAt;
+        time_point closedAt;
+    };
+    std::unordered_map<pool_id, pool_reports> m_reports;
     std::unordered_map<pool_id, warm_up_limit> m_warmUps;
     std::vector<std::string> m_warmUpEntries;
     time_point m_warmUpStart;
