--- a/fleet/entry_context.cpp
+++ b/fleet/entry_context.cpp
@@ -223,6 +223,13 @@
     }
 }
 
+void entry_context::logWarmUps()
+{
+    const time_point now = steadyNow();
+    if (const std::size_t count = m_runners.warmingUpCount(now); count > 0)
+        m_log.write("runners_warming_up", { { "runners", static_cast<std::int64_t>(count) }, { "entries", static_cast<std::int64_t>(m_warmUpEntries.addresses().size()) }, { "settled", m_warmUpEntries.isSettled(now) } });
+}
+
 void entry_context::onColdRunners(const std::vector<cold_runner>& all)
 {
     for (const cold_runner& cold : all) {
--- a/fleet/entry_context.h
+++ b/fleet/entry_context.h
@@ -95,6 +95,9 @@
     // Called when a runner's process says to this entry that it leaves, so that the others learn of it at once.
     void setLeavingHandler(std::function<void()> handler) { m_onLeaving = std::move(handler); }
 
+    // Logs how many runners may be cold, if there are any.
+    void logWarmUps();
+
     // Runners' processes that have said to another entry, or in the list that it follows, that they are cold.
     void onColdRunners(const std::vector<cold_runner>&);
 
--- a/fleet/entry_peers.cpp
+++ b/fleet/entry_peers.cpp
@@ -75,6 +75,7 @@
     sendVersions();
     sendToAgents();
     logGroups();
+    m_entry.logWarmUps();
     m_timer.expires_after(heartbeatInterval);
     m_timer.async_wait([this](const boost::system::error_code& error) {
         if (!error)
--- a/fleet/request_relay.cpp
+++ b/fleet/request_relay.cpp
@@ -231,6 +231,8 @@
     const time_point now = steadyNow();
     if (!m_triedRunners.empty())
         m_context.metrics().count("retry");
+    if (m_context.runners().isCold(*record, now))
+        m_context.metrics().count("cold_runner_request");
     m_triedRunners.push_back(runner);
     runner_attempt attempt;
     attempt.number = static_cast<std::uint32_t>(m_triedRunners.size());
--- a/fleet/request_relay_failover.cpp
+++ b/fleet/request_relay_failover.cpp
@@ -2,6 +2,7 @@
 
 #include "fleet/entry_context.h"
 #include "fleet/event_log.h"
+#include "fleet/process_metrics.h"
 #include "fleet/steady_time.h"
 #include "relay/http_server_connection.h"
 #include "serving/failover_action.h"
@@ -219,6 +220,8 @@
     if (failure != attempt_failure::ServerError)
         dropResponse();
     const runner_record* record = m_context.runners().find(m_attempt.runner);
+    if (record && failure == attempt_failure::Rejected && m_context.runners().isCold(*record, steadyNow()))
+        m_context.metrics().count("cold_runner_rejected");
     const bool isCrashPossible = record && mayRunnerHaveCrashed(failure);
     if (isCrashPossible) {
         m_mayHaveRun = true;
