Keep evacuations over a restore of the store until they are settled

Cause: a review of the evacuations found that - a zone whose row a restored store had lost was dropped by the next read of all rows, or by the view of an entry that never knew it; - an entry that was cut off evacuated a zone for all again after the operator had taken it back; - a removed row that the restored store had again was believed; - a change that did not follow the known view was undone by an older view; - a key without a name counted as a zone, and the number and length of names had no bound; - waiting requests ended for another reason than new ones, and waited on if the last runner outside the zones drained.

Change: rows, retained zones and removals are kept apart, and the newer statement about a zone wins. Removals are passed on with heartbeats and outweigh retained zones. The log event and the metric are now called zones_evacuations_changed.

--- a/fleet/entry_context.cpp
+++ b/fleet/entry_context.cpp
@@ -12,6 +12,7 @@
 #include "serving/serving_configuration.h"
 
 #include <algorithm>
+#include <set>
 
 namespace sardinelb {
 
@@ -246,7 +247,7 @@
 
 void entry_context::onEvacuationChanges(const std::vector<zone_evacuations::change>& changes, store_revision base, store_revision asOf)
 {
-    if (m_evacuations.onChanges(changes, base, asOf, steadyNow()))
+    if (m_evacuations.onChanges(changes, base, asOf))
         applyEvacuations("store");
 }
 
@@ -266,10 +267,11 @@
 {
     const zone_evacuation_view view = m_evacuations.view(steadyNow());
     std::string names;
-    for (const auto& entry : view.zones)
-        names += (names.empty() ? "" : ",") + entry.zone.value();
-    m_log.write("zones_evacuated", { { "zones", names }, { "epoch", static_cast<std::int64_t>(view.asOf.epoch.value()) }, { "revision", static_cast<std::int64_t>(view.asOf.revision.value()) }, { "told_by", toldBy } });
-    m_metrics.count("zones_evacuated");
+    const auto zones = m_evacuations.zones();
+    for (const availability_zone_id& zone : std::set<availability_zone_id>(zones.begin(), zones.end()))
+        names += (names.empty() ? "" : ",") + zone.value();
+    m_log.write("zones_evacuations_changed", { { "zones", names }, { "epoch", static_cast<std::int64_t>(view.asOf.epoch.value()) }, { "revision", static_cast<std::int64_t>(view.asOf.revision.value()) }, { "told_by", toldBy } });
+    m_metrics.count("zones_evacuations_changed");
     m_runners.setEvacuatedZones(m_evacuations.zones(), steadyNow());
     if (m_onEvacuation)
         m_onEvacuation();
@@ -285,9 +287,10 @@
         rejected.push_back(m_waiting[next->ticket]);
         m_waiting.erase(next->ticket);
     }
+    // They choose again, find no runner, and are rejected for the same reason as new requests.
     for (const auto& request : rejected) {
         if (const auto relay = request.lock())
-            relay->onNoFreeSlot();
+            relay->onSlotAvailable();
     }
 }
 
--- a/fleet/entry_process.cpp
+++ b/fleet/entry_process.cpp
@@ -63,6 +63,9 @@
 // Time to send the last responses.
 constexpr std::chrono::milliseconds finalFlushTime { 100 };
 
+// Heartbeats carry the names of evacuated zones, and must fit into one datagram.
+constexpr std::size_t maxZoneNameLength = 64;
+
 std::int64_t epochField(const store_revision& revision)
 {
     return static_cast<std::int64_t>(revision.epoch.value());
@@ -415,9 +418,19 @@
     if (isTakingPeerTable)
         return;
     std::vector<zone_evacuations::change> changes;
+    std::size_t evacuated = isFullSnapshot ? 0 : entry.evacuations().zones().size();
     for (const platform::store_row& row : rows) {
-        if (row.key.starts_with(platform::evacuationKeyPrefix))
-            changes.push_back({ availability_zone_id(row.key.substr(platform::evacuationKeyPrefix.size())), row.revision, row.isRemoved });
+        if (!row.key.starts_with(platform::evacuationKeyPrefix))
+            continue;
+        const availability_zone_id zone(row.key.substr(platform::evacuationKeyPrefix.size()));
+        const bool isNew = !row.isRemoved && (isFullSnapshot || !entry.evacuations().isEvacuated(zone));
+        const bool isTooMany = isNew && evacuated >= zone_evacuations::maxZones;
+        if (zone.value().empty() || zone.value().size() > maxZoneNameLength || isTooMany) {
+            log.write("evacuation_ignored", { { "zone", zone.value().substr(0, maxZoneNameLength) }, { "revision", static_cast<std::int64_t>(row.revision.value()) }, { "too_many", isTooMany } });
+            continue;
+        }
+        evacuated += isNew ? 1 : 0;
+        changes.push_back({ zone, row.revision, row.isRemoved });
     }
     if (isFullSnapshot) {
         entry.onEvacuationSnapshot(changes, revision);
--- a/fleet/fleet_message.cpp
+++ b/fleet/fleet_message.cpp
@@ -65,6 +65,16 @@
         return offsets;
     }
 
+    std::vector<flatbuffers::Offset<wire::removed_evacuation>> createRemovedEvacuations(const zone_evacuation_view& view) const
+    {
+        std::vector<flatbuffers::Offset<wire::removed_evacuation>> offsets;
+        for (const auto& entry : view.removals) {
+            offsets.push_back(wire::Createremoved_evacuationDirect(builder, entry.zone.value().c_str(), entry.removedAt.epoch.value(),
+                entry.removedAt.revision.value(), entry.row.value()));
+        }
+        return offsets;
+    }
+
     void operator()(const entry_heartbeat_message& message) const
     {
         const member_offsets members = createMembers(message.members);
@@ -82,12 +92,13 @@
         for (const cold_runner& cold : message.coldRunners)
             coldRunners.emplace_back(cold.process.value(), milliseconds(cold.timeLeft));
         const auto evacuatedZones = createEvacuatedZones(message.evacuations);
+        const auto removedEvacuations = createRemovedEvacuations(message.evacuations);
         const auto body = wire::Createentry_beatDirect(builder, message.daemon.value().c_str(), message.configuration.value(),
             message.runnerList.revision.value(), message.runnerDigest,
             milliseconds(message.runnerListAge), message.isStopping, message.group.value().c_str(), &members,
             message.expertsPerRank, message.newExpertsPerRank, static_cast<std::uint64_t>(message.expertCopyTime.count()), message.slots, &groups,
             message.arrivalsPerSecond, &promptParts, &runnerLimits, message.runnerList.epoch.value(), &leavingRunners, &evacuatedZones,
-            message.evacuations.asOf.epoch.value(), message.evacuations.asOf.revision.value(), &coldRunners);
+            message.evacuations.asOf.epoch.value(), message.evacuations.asOf.revision.value(), &coldRunners, &removedEvacuations);
         finish(wire::datagram_body::entry_beat, body.Union());
     }
 
@@ -206,6 +217,11 @@
     return entry;
 }
 
+zone_evacuation_view::removal read(const wire::removed_evacuation& body)
+{
+    return { availability_zone_id(text(body.zone())), { store_epoch(body.epoch()), row_revision(body.revision()) }, row_revision(body.row()) };
+}
+
 fleet_message read(const wire::entry_beat& body)
 {
     entry_heartbeat_message message;
@@ -243,6 +259,10 @@
         for (const auto* cold : *body.cold_runners())
             message.coldRunners.push_back({ runner_process_id(cold->process()), std::chrono::milliseconds(cold->left_ms()) });
     }
+    if (body.removed_evacuations()) {
+        for (const auto* removal : *body.removed_evacuations())
+            message.evacuations.removals.push_back(read(*removal));
+    }
     if (body.prompt_parts()) {
         for (const auto* part : *body.prompt_parts())
             message.promptParts.push_back(read(*part));
--- a/serving/runner_directory.cpp
+++ b/serving/runner_directory.cpp
@@ -128,9 +128,11 @@
 bool runner_directory::isPoolEvacuated(const pool_id& pool) const
 {
     const auto members = m_byPool.find(pool);
-    if (members == m_byPool.end() || members->second.empty())
+    if (members == m_byPool.end())
         return false;
-    return std::all_of(members->second.begin(), members->second.end(), [&](const runner_id& id) { return isZoneEvacuated(m_runners.at(id)); });
+    const std::vector<runner_id>& ids = members->second;
+    const bool isAnyStaying = std::any_of(ids.begin(), ids.end(), [&](const runner_id& id) { return isStaying(m_runners.at(id)); });
+    return !isAnyStaying && std::any_of(ids.begin(), ids.end(), [&](const runner_id& id) { return isZoneEvacuated(m_runners.at(id)); });
 }
 
 void runner_directory::setEngine(const pool_id& pool, const std::optional<engine_profile>& engine)
--- a/serving/runner_directory.h
+++ b/serving/runner_directory.h
@@ -77,7 +77,7 @@
     // Sets the availability zones whose runners get no new requests. Requests that run there go on.
     void setEvacuatedZones(std::unordered_set<availability_zone_id>, time_point now);
 
-    // Whether the pool has runners and all of them are in evacuated zones, so that waiting for one is in vain.
+    // Whether the pool has runners in evacuated zones and no other one that stays, so that waiting is in vain.
     bool isPoolEvacuated(const pool_id&) const;
 
     // Addresses of all runners in pools with an engine profile.
--- a/serving/zone_evacuation_view.h
+++ b/serving/zone_evacuation_view.h
@@ -21,9 +21,21 @@
         friend bool operator==(const zone_entry&, const zone_entry&) = default;
     };
 
+    // A row that the operator has removed. Outweighs what is known of the zone from an older epoch.
+    struct removal {
+        availability_zone_id zone;
+        // Revision as of which the row is known to be gone.
+        store_revision removedAt;
+        // Revision of the row when it was last seen; 0 if it was not.
+        row_revision row;
+
+        friend bool operator==(const removal&, const removal&) = default;
+    };
+
     // Revision 0 means that nothing is known.
     store_revision asOf;
     std::vector<zone_entry> zones;
+    std::vector<removal> removals;
 
     friend bool operator==(const zone_evacuation_view&, const zone_evacuation_view&) = default;
 };
