Bound the memory and the connections of callers of sardinelbd, and free what is evicted at once

An entry of sardinelbd had no bound over all connections. It now reserves from the same budget as sardinelb-fleet, with the settings memory_mb and max_descriptors, and reads requests in parts of 4 KiB. Heads are parsed field by field, so the parts that were consumed count, too. Assigning an empty string keeps the old buffer, so evicted bodies are swapped away; middle buffer sizes are skipped and large ones mapped, which leaves no holes in the heap. The kernel holds at most a small receive buffer for each connection.

--- a/daemon/daemon_settings.cpp
+++ b/daemon/daemon_settings.cpp
@@ -18,6 +18,11 @@
 constexpr std::int64_t maxRunnerSlots = 1024;
 constexpr std::int64_t maxDrainMs = 600'000;
 constexpr std::int64_t maxTableTimeoutMs = 60'000;
+constexpr std::size_t bytesPerMegabyte = std::size_t { 1 } << 20;
+constexpr std::int64_t maxMemoryMegabytes = 16'777'216;
+// Of these, 200 are kept for files.
+constexpr std::int64_t minDescriptors = 256;
+constexpr std::int64_t maxDescriptors = 1'048'576;
 
 bool isAddress(const std::string& text)
 {
@@ -49,6 +54,17 @@
     return fallback;
 }
 
+std::size_t optionalCount(object_reader& reader, const std::string& field, std::size_t fallback, std::int64_t minimum, std::int64_t maximum)
+{
+    const json* value = reader.optionalValue(field);
+    if (!value)
+        return fallback;
+    if (value->is_number_integer() && *value >= minimum && *value <= maximum)
+        return value->get<std::size_t>();
+    reader.fault(field, value, "expected a whole number from " + std::to_string(minimum) + " to " + std::to_string(maximum));
+    return fallback;
+}
+
 // Reads the entries of one zone: an object that maps names to addresses.
 void readZone(const std::string& zone, const json& names, object_reader& reader, std::vector<entry_address>& entries)
 {
@@ -109,6 +125,8 @@
     settings.entries = readEntries(reader);
     if (settings.role == daemon_role::Entry) {
         settings.callerAddress = requiredAddress(reader, "caller_address");
+        settings.memoryBytes = optionalCount(reader, "memory_mb", settings.memoryBytes / bytesPerMegabyte, 1, maxMemoryMegabytes) * bytesPerMegabyte;
+        settings.maxDescriptors = optionalCount(reader, "max_descriptors", settings.maxDescriptors, minDescriptors, maxDescriptors);
         settings.drainDelay = optionalMs(reader, "drain_delay_ms", settings.drainDelay, 0, maxDrainMs);
     } else
         readRunner(reader, settings);
--- a/daemon/daemon_settings.h
+++ b/daemon/daemon_settings.h
@@ -8,6 +8,7 @@
 #include "transport/socket_address.h"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -35,6 +36,9 @@
     socket_address runnerAddress;
     pool_kind runnerKind = pool_kind::Model;
     std::uint32_t runnerSlots = 8;
+    // Entries only: what the machine gives the process.
+    std::size_t memoryBytes = std::size_t { 1 } << 30;
+    std::size_t maxDescriptors = 8192;
     // Time for which a stopping entry still accepts requests while it already reports not ready.
     std::chrono::milliseconds drainDelay { 2000 };
 };
--- a/daemon/entry_daemon.cpp
+++ b/daemon/entry_daemon.cpp
@@ -5,6 +5,7 @@
 #include "daemon/daemon_runtime.h"
 #include "daemon/logger.h"
 #include "protocol/error_response.h"
+#include "relay/memory_budget.h"
 #include "state/derived_limits.h"
 #include "state/name_digest.h"
 #include "transport/http_exchange.h"
@@ -95,7 +96,8 @@
     , api(idPrefix(settings, runtime.ownIncarnation()), runtime.counters(), callerHooks())
     , server(
           runtime.net(), http_limits {},
-          [this](const std::shared_ptr<http_exchange>& exchange) { api.handle(exchange); }, httpErrorBody)
+          [this](const std::shared_ptr<http_exchange>& exchange) { api.handle(exchange); }, httpErrorBody,
+          std::make_shared<memory_budget>(callerLimitsFor(settings.memoryBytes, settings.maxDescriptors)))
 {
 }
 
--- a/daemon/sardinelbd.cpp
+++ b/daemon/sardinelbd.cpp
@@ -3,6 +3,9 @@
 #include "daemon/daemon_settings.h"
 #include "daemon/entry_daemon.h"
 #include "daemon/logger.h"
+#include "relay/incoming_body.h"
+
+#include <malloc.h>
 
 #include <csignal>
 #include <fstream>
@@ -88,6 +91,8 @@
         std::cout << (arguments.showHelp ? helpText() : std::string("sardinelbd 0.1.0\n"));
         return toStatus(exit_code::Success);
     }
+    // Otherwise the allocator raises the threshold with each large buffer that is freed, and keeps later ones.
+    mallopt(M_MMAP_THRESHOLD, static_cast<int>(mappedBufferBytes));
     return toStatus(run(arguments));
 }
 
--- a/fleet/sardinelb_fleet.cpp
+++ b/fleet/sardinelb_fleet.cpp
@@ -3,6 +3,7 @@
 #include "fleet/event_log.h"
 #include "platform/names.h"
 #include "platform/settings.h"
+#include "relay/incoming_body.h"
 
 #include <malloc.h>
 
@@ -20,9 +21,6 @@
 using sardinelb::event_log;
 using sardinelb::platform::settings;
 
-// Buffers of this size are returned to the system when they are freed.
-constexpr int mappedBufferBytes = 131072;
-
 // Handles signals until the process ends. SIGHUP only validates the settings file; changes take effect at the next start.
 void watchSignals(boost::asio::signal_set& signals, event_log& log, const std::string& path, const std::function<void()>& stop)
 {
@@ -72,7 +70,7 @@
     }
     const std::string role = argv[1];
     // Otherwise the allocator raises the threshold with each large buffer that is freed, and keeps later ones.
-    mallopt(M_MMAP_THRESHOLD, mappedBufferBytes);
+    mallopt(M_MMAP_THRESHOLD, static_cast<int>(sardinelb::mappedBufferBytes));
     std::signal(SIGPIPE, SIG_IGN);
     if (role == "entry")
         return run<sardinelb::entry_process>(*options, role, path);
--- a/relay/http_server_connection.cpp
+++ b/relay/http_server_connection.cpp
@@ -205,7 +205,7 @@
     if (!isInBudget)
         return true;
     if (!parser->is_header_done())
-        return reserve(memory_use::Head, input.size() * headMemoryFactor);
+        return reserve(memory_use::Head, (headBytes + input.size()) * headMemoryFactor);
     const std::string& body = parser->get().body();
     return reserve(memory_use::Body, grownCapacity(body.capacity(), body.size() + input.size()));
 }
@@ -554,7 +554,7 @@
         return;
     currentPhase = phase::Closed;
     closeAccount();
-    queued = {};
+    std::string().swap(queued);
     timer.cancel();
     error_code ignored; // The peer may have closed the connection first.
     socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
--- a/relay/incoming_body.h
+++ b/relay/incoming_body.h
@@ -13,12 +13,19 @@
 
 namespace sardinelb {
 
+// Buffers of this size are to be returned to the system when they are freed; programs set the threshold of the allocator to it.
+inline constexpr std::size_t mappedBufferBytes = 65536;
+
 // Capacity of a buffer of received bytes that has to hold `neededBytes`. Grows by a quarter, where a string would double, so that little
-// memory is taken beyond what has arrived.
+// memory is taken beyond what has arrived. Skips middle sizes, which would leave holes in the heap when many buffers grow at once.
 constexpr std::size_t grownCapacity(std::size_t capacity, std::size_t neededBytes)
 {
+    constexpr std::size_t maxHeapBytes = 16384;
     constexpr std::size_t minStepBytes = 4096;
-    return neededBytes <= capacity ? capacity : neededBytes + std::max(minStepBytes, neededBytes / 4);
+    if (neededBytes <= capacity)
+        return capacity;
+    const std::size_t grownBytes = neededBytes + std::max(minStepBytes, neededBytes / 4);
+    return grownBytes <= maxHeapBytes ? grownBytes : std::max(grownBytes, mappedBufferBytes);
 }
 
 // Body of a request for a Boost.Beast parser. Takes memory for what has arrived, not for what Content-Length announces.
--- a/serving/event_splitter.cpp
+++ b/serving/event_splitter.cpp
@@ -63,7 +63,7 @@
 
 void event_splitter::dropPartialEvent()
 {
-    m_pending = {};
+    std::string().swap(m_pending);
     m_isMalformed = false;
 }
 
--- a/transport/http_server.cpp
+++ b/transport/http_server.cpp
@@ -1,8 +1,10 @@
 #include "transport/http_server.h"
 
+#include "relay/memory_budget.h"
 #include "transport/http_session.h"
 #include "transport/net_thread.h"
 #include "transport/open_listener.h"
+#include "transport/session_memory.h"
 #include "transport/socket_address.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -21,12 +23,20 @@
 namespace beast = boost::beast;
 using asio::ip::tcp;
 
+namespace {
+
+// What the kernel holds of a connection counts toward the memory of the machine. Enough for 5 MB/s at a round trip of 6 ms.
+constexpr int receiveBufferBytes = 32768;
+
+}
+
 struct http_server::implementation : std::enable_shared_from_this<http_server::implementation> {
-    implementation(asio::io_context& io, http_limits bounds, handler handle, rejection_body makeBody)
+    implementation(asio::io_context& io, http_limits bounds, handler handle, rejection_body makeBody, std::shared_ptr<memory_budget> memory)
         : acceptor(io)
         , limits(bounds)
         , onRequest(std::move(handle))
         , rejectionBody(std::move(makeBody))
+        , budget(std::move(memory))
     {
     }
 
@@ -38,6 +48,7 @@
     http_limits limits;
     handler onRequest;
     rejection_body rejectionBody;
+    std::shared_ptr<memory_budget> budget;
     std::unordered_set<http_session*> sessions;
     bool closeAfterResponses = false;
 };
@@ -59,11 +70,11 @@
 {
     // A connection over the limit is closed at once, because a response would use the resources that the limit
     // protects.
-    if (sessions.size() >= limits.maxConnections)
+    if (sessions.size() >= limits.maxConnections || (budget && !budget->admit(session_memory::now())))
         return;
     const auto executor = socket.get_executor();
     const auto session
-        = std::make_shared<http_session>(beast::tcp_stream(std::move(socket)), limits, onRequest, rejectionBody);
+        = std::make_shared<http_session>(beast::tcp_stream(std::move(socket)), limits, onRequest, rejectionBody, budget);
     if (closeAfterResponses)
         session->closeAfterResponse();
     sessions.insert(session.get());
@@ -77,9 +88,9 @@
     sessions.erase(session.get());
 }
 
-http_server::http_server(net_thread& net, http_limits limits, handler handle, rejection_body makeBody)
+http_server::http_server(net_thread& net, http_limits limits, handler handle, rejection_body makeBody, std::shared_ptr<memory_budget> budget)
     : m_implementation(
-        std::make_shared<implementation>(net.context(), limits, std::move(handle), std::move(makeBody)))
+        std::make_shared<implementation>(net.context(), limits, std::move(handle), std::move(makeBody), std::move(budget)))
 {
 }
 
@@ -93,6 +104,10 @@
 {
     auto& acceptor = m_implementation->acceptor;
     auto port = openListener(acceptor, address);
+    if (port && m_implementation->budget) {
+        boost::system::error_code ignored; // Connections work with larger buffers, too.
+        acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes), ignored);
+    }
     if (port)
         asio::co_spawn(acceptor.get_executor(), m_implementation->acceptLoop(), asio::detached);
     return port;
--- a/transport/http_server.h
+++ b/transport/http_server.h
@@ -12,6 +12,7 @@
 namespace sardinelb {
 
 class http_exchange;
+class memory_budget;
 class net_thread;
 struct socket_address;
 
@@ -23,7 +24,8 @@
     // Returns the body for rejecting a request with this HTTP status (400, 408, 413, 431 or 503) and explanation.
     using rejection_body = std::function<std::string(int status, const std::string& explanation)>;
 
-    http_server(net_thread&, http_limits, handler, rejection_body);
+    // Without a budget, connections use memory within the limits of one client only.
+    http_server(net_thread&, http_limits, handler, rejection_body, std::shared_ptr<memory_budget> = nullptr);
     ~http_server();
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
--- a/transport/http_session.cpp
+++ b/transport/http_session.cpp
@@ -8,9 +8,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/status.hpp>
 
 #include <algorithm>
@@ -25,6 +23,20 @@
 
 namespace {
 
+constexpr int requestTimeoutStatus = 408;
+constexpr int unavailableStatus = 503;
+
+// Memory of a parsed head in proportion to its bytes. A field of five bytes takes an allocation and a node in a tree.
+constexpr std::size_t headMemoryFactor = 16;
+
+// A body is kept while it is served, beside the message that is decoded from it and the one that goes to an agent.
+constexpr std::size_t servedBodyFactor = 3;
+
+constexpr std::size_t readSizeBytes = 4096;
+
+// Fewer bytes of a request count as no progress.
+constexpr std::size_t minProgressBytes = 1024;
+
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 
 std::string responseHead(
@@ -71,12 +83,13 @@
 }
 
 http_session::http_session(beast::tcp_stream stream, http_limits limits, http_server::handler handler,
-    http_server::rejection_body rejectionBody)
+    http_server::rejection_body rejectionBody, std::shared_ptr<memory_budget> budget)
     : m_stream(std::move(stream))
     , m_limits(limits)
     , m_handler(std::move(handler))
     , m_rejectionBody(std::move(rejectionBody))
-    , m_buffer(std::min(limits.maxHeaderBytes + maxFramingBytes, maxFieldBytes))
+    , m_memory(std::move(budget), [this](eviction_reason reason) { onEvicted(reason); })
+    , m_buffer(std::max(limits.maxHeaderBytes, maxFramingBytes) + readSizeBytes)
     , m_outputReady(m_stream.get_executor())
     , m_requestDeadline(m_stream.get_executor())
 {
@@ -89,20 +102,21 @@
     m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
     bool open = true;
     // The first request of a connection accepted while the server drains is still served.
-    while (open && (!m_isDraining || !m_hasReceivedRequest || hasNextRequestArrived())) {
+    while (open && !m_isEvicted && (!m_isDraining || !m_hasReceivedRequest || hasNextRequestArrived())) {
         request_parser parser;
         parser.header_limit(static_cast<std::uint32_t>(m_limits.maxHeaderBytes));
         parser.body_limit(m_limits.maxBodyBytes);
         if (!co_await readRequest(parser))
             break;
-        const auto& message = parser.get();
+        auto& message = parser.get();
         http_request request { std::string(message.method_string()), std::string(message.target()),
             std::string(message[http::field::authorization]), std::string(message["Idempotency-Key"]),
-            std::string(message[http::field::content_type]), message.body() };
+            std::string(message[http::field::content_type]), std::move(message.body()) };
         m_hasReceivedRequest = true;
         m_isHeadRequest = message.method() == http::verb::head;
         const auto exchange = std::make_shared<http_exchange>(std::move(request));
         open = co_await serve(exchange, message.keep_alive());
+        releaseRequest();
     }
     m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
     m_stream.close();
@@ -111,10 +125,10 @@
 asio::awaitable<bool> http_session::readRequest(request_parser& parser)
 {
     m_isBetweenRequests = true;
+    m_memory.enter(memory_budget::stage::Idle);
     if (m_buffer.size() == 0) {
         m_stream.expires_after(m_limits.idleTimeout);
-        constexpr std::size_t readAhead = 4096;
-        auto [waitError, bytes] = co_await m_stream.async_read_some(m_buffer.prepare(readAhead), asTuple);
+        auto [waitError, bytes] = co_await m_stream.async_read_some(m_buffer.prepare(readSizeBytes), asTuple);
         if (waitError)
             co_return false;
         m_buffer.commit(bytes);
@@ -123,18 +137,112 @@
     // A stream timeout would close the socket, so that no error response could be sent.
     m_stream.expires_never();
     startRequestTimer();
-    auto [error, bytes] = co_await http::async_read(m_stream, m_buffer, parser, asTuple);
+    m_memory.enter(memory_budget::stage::Receiving);
+    m_headBytes = 0;
+    m_rejectionStatus = 0;
+    m_incoming = &parser;
+    const boost::system::error_code error = co_await readMessage(parser);
+    m_incoming = nullptr;
     m_isReadingRequest = false;
     m_requestDeadline.cancel();
-    if (!error)
+    if (!error && m_rejectionStatus == 0) {
+        m_memory.enter(memory_budget::stage::Serving);
         co_return true;
-    if (m_requestTimedOut || !isPeerGone(error)) {
+    }
+    // Frees the body before the response is written.
+    std::string().swap(parser.get().body());
+    releaseRequest();
+    if (m_rejectionStatus != 0)
+        co_await reject(m_rejectionStatus, m_rejectionStatus == requestTimeoutStatus ? "the request did not arrive in time" : "no memory is free for the request");
+    else if (m_requestTimedOut || !isPeerGone(error)) {
         const auto [status, explanation] = rejectionFor(m_requestTimedOut ? beast::error::timeout : error);
         co_await reject(status, explanation);
     }
     co_return false;
 }
 
+asio::awaitable<boost::system::error_code> http_session::readMessage(request_parser& parser)
+{
+    parser.eager(true);
+    bool needsInput = m_buffer.size() == 0;
+    while (true) {
+        if (needsInput) {
+            auto [error, bytes] = co_await m_stream.async_read_some(m_buffer.prepare(readSizeBytes), asTuple);
+            if (m_rejectionStatus != 0)
+                co_return boost::system::error_code();
+            if (error == asio::error::eof)
+                co_return parser.got_some() || m_buffer.size() > 0 ? http::error::partial_message : http::error::end_of_stream;
+            if (error)
+                co_return error;
+            m_buffer.commit(bytes);
+            recordRequestProgress(bytes);
+        }
+        const boost::system::error_code error = parseInput(parser, needsInput);
+        if (error || m_rejectionStatus != 0 || parser.is_done())
+            co_return error;
+    }
+}
+
+// Parses what has been read, for which memory is reserved first.
+boost::system::error_code http_session::parseInput(request_parser& parser, bool& needsInput)
+{
+    needsInput = m_buffer.size() == 0;
+    while (!needsInput && !parser.is_done()) {
+        if (!reserveForInput(parser)) {
+            m_rejectionStatus = unavailableStatus;
+            return {};
+        }
+        const bool wasHeaderDone = parser.is_header_done();
+        const std::size_t maxUnitBytes = wasHeaderDone ? maxFramingBytes : std::max(maxFramingBytes, m_limits.maxHeaderBytes);
+        boost::system::error_code error;
+        const std::size_t consumedBytes = parseBounded(parser, m_buffer, maxUnitBytes, error);
+        if (error)
+            return error;
+        if (!wasHeaderDone)
+            m_headBytes += consumedBytes;
+        if (!wasHeaderDone && parser.is_header_done())
+            m_memory.charge(memory_use::Head, m_headBytes * headMemoryFactor);
+        needsInput = consumedBytes == 0 || m_buffer.size() == 0;
+    }
+    if (parser.is_done() && !m_memory.reserve(memory_use::Body, parser.get().body().capacity() * servedBodyFactor))
+        m_rejectionStatus = unavailableStatus;
+    return {};
+}
+
+bool http_session::reserveForInput(const request_parser& parser)
+{
+    if (!parser.is_header_done())
+        return m_memory.reserve(memory_use::Head, (m_headBytes + m_buffer.size()) * headMemoryFactor);
+    const std::string& body = parser.get().body();
+    return m_memory.reserve(memory_use::Body, grownCapacity(body.capacity(), body.size() + m_buffer.size()));
+}
+
+void http_session::recordRequestProgress(std::size_t receivedBytes)
+{
+    m_bytesSinceProgress += receivedBytes;
+    if (m_bytesSinceProgress < minProgressBytes)
+        return;
+    m_bytesSinceProgress = 0;
+    m_memory.recordProgress();
+}
+
+void http_session::releaseRequest()
+{
+    for (const memory_use use : { memory_use::Head, memory_use::Body, memory_use::Unsent })
+        m_memory.charge(use, 0);
+}
+
+void http_session::onEvicted(eviction_reason reason)
+{
+    m_isEvicted = true;
+    if (m_incoming) {
+        m_rejectionStatus = reason == eviction_reason::Stalled ? requestTimeoutStatus : unavailableStatus;
+        // At once, because others use the memory before the read is cancelled.
+        std::string().swap(m_incoming->get().body());
+    }
+    m_stream.cancel();
+}
+
 void http_session::startRequestTimer()
 {
     m_isReadingRequest = true;
@@ -262,10 +370,21 @@
 {
     if (bytes.empty())
         co_return true;
+    m_memory.charge(memory_use::Unsent, bytes.size());
+    m_memory.enter(memory_budget::stage::Sending);
     m_stream.expires_after(m_limits.writeTimeout);
-    auto [error, written] = co_await asio::async_write(m_stream, asio::buffer(bytes), asTuple);
+    std::size_t sentBytes = 0;
+    boost::system::error_code failure;
+    while (sentBytes < bytes.size() && !failure) {
+        auto [error, written] = co_await m_stream.async_write_some(asio::buffer(bytes) + sentBytes, asTuple);
+        failure = error;
+        sentBytes += written;
+        m_memory.recordProgress();
+    }
     m_stream.expires_never();
-    co_return !error;
+    m_memory.enter(memory_budget::stage::Serving);
+    m_memory.charge(memory_use::Unsent, 0);
+    co_return !failure;
 }
 
 // Detects that the client closes the connection before its response is complete. Arriving data is the start of the
--- a/transport/http_session.h
+++ b/transport/http_session.h
@@ -1,14 +1,15 @@
 #pragma once
 
+#include "relay/incoming_body.h"
 #include "transport/http_limits.h"
 #include "transport/http_server.h"
+#include "transport/session_memory.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <chrono>
 #include <functional>
@@ -22,7 +23,7 @@
 // One connection of an HTTP server. Internal to the transport layer.
 class http_session : public std::enable_shared_from_this<http_session> {
 public:
-    http_session(boost::beast::tcp_stream, http_limits, http_server::handler, http_server::rejection_body);
+    http_session(boost::beast::tcp_stream, http_limits, http_server::handler, http_server::rejection_body, std::shared_ptr<memory_budget>);
 
     // Serves requests until the connection ends.
     boost::asio::awaitable<void> run();
@@ -36,9 +37,16 @@
     void drain();
 
 private:
-    using request_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using request_parser = boost::beast::http::request_parser<incoming_body>;
 
     boost::asio::awaitable<bool> readRequest(request_parser&);
+    // Reads until the request is complete. Returns an error, or sets m_rejectionStatus.
+    boost::asio::awaitable<boost::system::error_code> readMessage(request_parser&);
+    boost::system::error_code parseInput(request_parser&, bool& needsInput);
+    bool reserveForInput(const request_parser&);
+    void recordRequestProgress(std::size_t receivedBytes);
+    void releaseRequest();
+    void onEvicted(eviction_reason);
     void startRequestTimer();
     bool hasNextRequestArrived();
     boost::asio::awaitable<void> reject(int status, const std::string& explanation);
@@ -52,6 +60,15 @@
     http_limits m_limits;
     http_server::handler m_handler;
     http_server::rejection_body m_rejectionBody;
+    session_memory m_memory;
+    // The request that is being read; null between requests.
+    request_parser* m_incoming = nullptr;
+    // Bytes of the head of the current request, and of the request since its last progress.
+    std::size_t m_headBytes = 0;
+    std::size_t m_bytesSinceProgress = 0;
+    // Status for a request that gives way to others, or 0.
+    int m_rejectionStatus = 0;
+    bool m_isEvicted = false;
     boost::beast::flat_buffer m_buffer;
     boost::asio::steady_timer m_outputReady;
     boost::asio::steady_timer m_requestDeadline;
