Show how long passes are held and what becomes of orders

The coordinator in charge logs each hold when it ends, with its origin, its end, its time and the part of it in which the group stood; the metrics address has a histogram of holds, the time that each group stood, and orders by outcome.

--- a/expert_map/map_switch.cpp
+++ b/expert_map/map_switch.cpp
@@ -38,9 +38,6 @@
 // Used after an order got no answer, since further orders are likely to get none for a few seconds, and after a rollback.
 constexpr duration longRetryDelay = std::chrono::seconds(3);
 
-// Rank that holds passes.
-constexpr rank_id holdingRank { 0 };
-
 }
 
 map_switch::map_switch(rank_id coordinator, std::uint32_t groupSize)
--- a/expert_map/map_switch.h
+++ b/expert_map/map_switch.h
@@ -43,6 +43,9 @@
         RollingBack,
     };
 
+    // Rank that holds passes.
+    static constexpr rank_id holdingRank { 0 };
+
     // `coordinator` is the rank that this coordinator runs next to. It determines the map versions and step numbers that this
     // coordinator uses, so that coordinators of neighboring ranks do not take each other's versions and holds for their own.
     map_switch(rank_id coordinator, std::uint32_t groupSize);
--- a/fleet/group_coordinator.cpp
+++ b/fleet/group_coordinator.cpp
@@ -71,6 +71,34 @@
     return true;
 }
 
+const char* nameOf(pass_hold::end end)
+{
+    switch (end) {
+    case pass_hold::end::Switched:
+        return "switched";
+    case pass_hold::end::GivenUp:
+        return "given_up";
+    case pass_hold::end::GroupReformed:
+        return "group_reformed";
+    }
+    return "";
+}
+
+const char* nameOf(order_statistics::outcome outcome)
+{
+    switch (outcome) {
+    case order_statistics::outcome::Answered:
+        return "answered";
+    case order_statistics::outcome::Repeated:
+        return "repeated";
+    case order_statistics::outcome::Late:
+        return "late";
+    case order_statistics::outcome::Lost:
+        return "lost";
+    }
+    return "";
+}
+
 const char* nameOf(map_order::kind kind)
 {
     switch (kind) {
@@ -104,9 +132,29 @@
     rank_status status = message.status;
     status.receivedAt = now;
     m_running[status.rank] = message.running;
+    observe(status);
     m_switch.onReport(status);
 }
 
+void group_coordinator::observe(const rank_status& status)
+{
+    m_orders.onStatus(status);
+    if (status.rank != map_switch::holdingRank)
+        return;
+    const auto ended = m_holds.onStatus(status);
+    if (!ended || !m_isActive)
+        return;
+    const auto milliseconds = [](duration time) { return std::chrono::duration_cast<std::chrono::milliseconds>(time).count(); };
+    m_log.write("pass_hold_ended", { { "group", m_group.value() }, { "step", static_cast<std::int64_t>(ended->step.value()) }, { "ordered_here", ended->isOwn }, { "reason", nameOf(ended->endedBy) }, { "held_ms", static_cast<std::int64_t>(milliseconds(ended->held)) }, { "stood_ms", static_cast<std::int64_t>(milliseconds(ended->stood)) } });
+    m_hooks.onHoldEnded(*ended);
+}
+
+void group_coordinator::reportOrderOutcomes(time_point now)
+{
+    for (const order_statistics::event& each : m_orders.takeEvents(now))
+        m_hooks.onOrderOutcome(nameOf(each.action), nameOf(each.what));
+}
+
 void group_coordinator::onExperts(rank_id rank, std::uint64_t epoch, map_version map, std::vector<std::vector<expert_number>> expertsBySet)
 {
     m_switch.onExperts(rank, epoch, map, std::move(expertsBySet));
@@ -141,6 +189,7 @@
     const auto previousStage = m_switch.currentStage();
     if (result != map_order_result::Accepted)
         m_log.write("map_order_failed", { { "group", m_group.value() }, { "order", nameOf(order.action) }, { "rank", static_cast<std::int64_t>(order.rank.value()) }, { "version", static_cast<std::int64_t>(order.version.value()) }, { "answered", result == map_order_result::Refused } });
+    m_orders.onResult(order, result, now);
     m_switch.onOrderResult(order, result, now);
     logStageChange(previousStage);
     sendOrders();
@@ -149,6 +198,8 @@
 void group_coordinator::advance(time_point now, bool isActive)
 {
     const auto previousStage = m_switch.currentStage();
+    m_isActive = isActive;
+    reportOrderOutcomes(now);
     m_switch.advance(now, isActive);
     if (isActive && m_switch.currentStage() == map_switch::stage::Idle && now - m_plannedAt >= planInterval)
         planNextSwitch(now);
@@ -218,8 +269,12 @@
 
 void group_coordinator::sendOrders()
 {
-    for (const map_order& order : m_switch.takeOrders())
+    for (const map_order& order : m_switch.takeOrders()) {
+        m_orders.onSent(order);
+        if (order.action == map_order::kind::Hold)
+            m_holds.onHoldOrdered(order.step);
         m_hooks.sendOrder(order);
+    }
 }
 
 void group_coordinator::logStageChange(map_switch::stage previousStage)
--- a/fleet/group_coordinator.h
+++ b/fleet/group_coordinator.h
@@ -2,7 +2,9 @@
 
 #include "expert_map/demand_route.h"
 #include "expert_map/expert_demand.h"
+#include "expert_map/hold_observer.h"
 #include "expert_map/map_switch.h"
+#include "expert_map/order_statistics.h"
 #include "expert_map/placement_planner.h"
 #include "state/ids.h"
 #include "state/time.h"
@@ -36,6 +38,10 @@
 
     struct hooks {
         std::function<void(const map_order&)> sendOrder;
+        // A hold that this coordinator saw while in charge has ended.
+        std::function<void(const pass_hold&)> onHoldEnded;
+        // The outcome of an order has become known.
+        std::function<void(const std::string& order, const std::string& outcome)> onOrderOutcome;
     };
 
     group_coordinator(group_id, rank_id coordinator, std::uint32_t groupSize, event_log&, hooks);
@@ -74,6 +80,8 @@
     void planNextSwitch(time_point now);
     double slotUtilization() const;
     void sendOrders();
+    void observe(const rank_status&);
+    void reportOrderOutcomes(time_point now);
     void logStageChange(map_switch::stage before);
 
     group_id m_group;
@@ -82,6 +90,9 @@
     limits m_limits;
     std::uint32_t m_groupSize;
     map_switch m_switch;
+    hold_observer m_holds;
+    order_statistics m_orders;
+    bool m_isActive = false;
     std::optional<expert_demand> m_demand;
     // Number of experts in all sets. 0 until a demand report has arrived.
     std::size_t m_expertCount = 0;
--- a/fleet/process_metrics.cpp
+++ b/fleet/process_metrics.cpp
@@ -12,6 +12,8 @@
 
 const prometheus::Histogram::BucketBoundaries latencyBucketsSeconds { 0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 4, 8 };
 
+const prometheus::Histogram::BucketBoundaries holdBucketsSeconds { 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1, 2, 4, 8 };
+
 double seconds(duration value)
 {
     return std::chrono::duration<double>(value).count();
@@ -26,6 +28,9 @@
     prometheus::Family<prometheus::Gauge>& memory = prometheus::BuildGauge().Name("sardinelb_caller_memory_bytes").Help("Memory reserved for connections of callers by use.").Register(registry);
     prometheus::Histogram& total = prometheus::BuildHistogram().Name("sardinelb_request_seconds").Help("Time from a request to the end of its answer.").Register(registry).Add({}, latencyBucketsSeconds);
     prometheus::Histogram& first = prometheus::BuildHistogram().Name("sardinelb_first_answer_seconds").Help("Time from a request to the first part of its answer.").Register(registry).Add({}, latencyBucketsSeconds);
+    prometheus::Family<prometheus::Counter>& orders = prometheus::BuildCounter().Name("sardinelb_map_orders_total").Help("Orders to ranks by kind and outcome.").Register(registry);
+    prometheus::Family<prometheus::Histogram>& holds = prometheus::BuildHistogram().Name("sardinelb_pass_hold_seconds").Help("Time for which a pass of a rank group was held.").Register(registry);
+    prometheus::Family<prometheus::Counter>& stood = prometheus::BuildCounter().Name("sardinelb_group_stood_seconds_total").Help("Time for which a rank group waited at a held pass.").Register(registry);
 };
 
 process_metrics::process_metrics()
@@ -56,6 +61,17 @@
     m_implementation->memory.Add({ { "use", use } }).Set(static_cast<double>(bytes));
 }
 
+void process_metrics::recordHold(const std::string& group, duration held, duration stood)
+{
+    m_implementation->holds.Add({ { "group", group } }, holdBucketsSeconds).Observe(seconds(held));
+    m_implementation->stood.Add({ { "group", group } }).Increment(seconds(stood));
+}
+
+void process_metrics::countOrder(const std::string& order, const std::string& outcome)
+{
+    m_implementation->orders.Add({ { "order", order }, { "outcome", outcome } }).Increment();
+}
+
 std::string process_metrics::text() const
 {
     return prometheus::TextSerializer().Serialize(m_implementation->registry.Collect());
--- a/fleet/process_metrics.h
+++ b/fleet/process_metrics.h
@@ -26,6 +26,12 @@
     // Sets the bytes in use for callers of one kind, such as bodies.
     void setMemory(const std::string& use, std::size_t bytes);
 
+    // Records the time for which a pass of a rank group was held, and the part of it in which the group stood.
+    void recordHold(const std::string& group, duration held, duration stood);
+
+    // Counts an order to a rank by its kind and outcome.
+    void countOrder(const std::string& order, const std::string& outcome);
+
     std::string text() const;
 
 private:
--- a/tests/fleet/group_coordinator_test.cpp
+++ b/tests/fleet/group_coordinator_test.cpp
@@ -16,7 +16,7 @@
 protected:
     coordinator_input()
         : log("test-agent")
-        , coordinator(group_id("g"), rank_id(0), 4, log, group_coordinator::hooks { [this](const map_order& order) { orders.push_back(order); } })
+        , coordinator(group_id("g"), rank_id(0), 4, log, group_coordinator::hooks { [this](const map_order& order) { orders.push_back(order); }, [](const pass_hold&) {}, [](const std::string&, const std::string&) {} })
     {
         coordinator.setLimits({ 4, 2, milliseconds(10), 6, 1e9 });
     }
