Let any coordinator finish a switch that stays undecided

A group stood for over a second after its coordinator was killed: a standby waited 1.3 s for the other's switch, and rolled it back unless all ranks were armed.

The ranks now decide by their own state: a switch is committed once all are armed, and rolled back once one is void, and no rank is disarmed before another is void. So coordinators may act at once, and also a standby one completes or rolls back a switch whose hold is older than 250 ms. Arm orders are repeated until a rank refuses, as a rollback takes more orders than that. Reports tell the pass for which a rank is armed; without it a switch is only rolled back. A pass is not held twice by one process, and the delay after a rollback is kept, which the release used to clear. The fault test has coordinators whose clock stands still, groups of 8, 32 and 96, and a bound of 470 ms between passes for each single fault.

--- a/expert_map/map_switch.cpp
+++ b/expert_map/map_switch.cpp
@@ -19,20 +19,26 @@
 // of neighboring ranks do not take each other's versions and holds for their own.
 constexpr std::uint64_t coordinatorModulus = 3;
 
-// Time for rank 0 to confirm its hold, and for all ranks to confirm that they are armed. Unanswered orders are resent in
-// the meantime; orders are idempotent because each names its map version or pass.
+// Time for rank 0 to confirm its hold. Unanswered orders are resent in the meantime; orders are idempotent because each names its
+// map version or pass.
 constexpr duration holdTimeout = std::chrono::milliseconds(300);
-constexpr duration armTimeout = std::chrono::milliseconds(500);
 constexpr duration resendInterval = std::chrono::milliseconds(120);
 
+// Time for a report that shows why a rank has refused to be armed.
+constexpr duration refusalReportTimeout = std::chrono::milliseconds(200);
+
 // advance() is called ten times per second; a longer gap means that the process was paused.
 constexpr duration maxCallGap = std::chrono::milliseconds(400);
 
 // Time that ranks may take, beyond the copy time, to report a map as prepared.
 constexpr duration prepareSlack = std::chrono::milliseconds(1500);
 
-// Exceeds the time that another coordinator takes from its hold to the release or to the rollback of its switch.
-constexpr duration foreignHoldTimeout = std::chrono::milliseconds(1300);
+// Age of a hold at which any coordinator completes or rolls back the switch. Exceeds the time from a hold to its release when no
+// order is lost; two coordinators that act at once only send needless orders.
+constexpr duration foreignHoldTimeout = std::chrono::milliseconds(250);
+
+// Time after which ranks that stay armed without a hold are reset.
+constexpr duration foreignArmTimeout = std::chrono::milliseconds(1300);
 
 constexpr duration shortRetryDelay = std::chrono::milliseconds(500);
 // Used after an order got no answer, since further orders are likely to get none for a few seconds, and after a rollback.
@@ -58,7 +64,10 @@
         m_foreignSince.reset();
         m_orders.clear();
         m_requestedHolds.clear();
+        m_acceptedVersions.clear();
+        m_disarmedVersions.clear();
     }
+    m_disarmedVersions.erase(status.rank);
     rank_status& known = m_ranks[status.rank];
     auto experts = known.map == status.map ? std::move(known.expertsBySet) : decltype(known.expertsBySet) {};
     known = status;
@@ -134,9 +143,36 @@
     return std::all_of(m_ranks.begin(), m_ranks.end(), [&](const auto& entry) { return entry.second.prepared == version; });
 }
 
+bool map_switch::isVoid(const rank_status& status, map_version version) const
+{
+    const auto accepted = m_acceptedVersions.find(status.rank);
+    if (accepted != m_acceptedVersions.end() && accepted->second > version)
+        return true;
+    return status.map > version || (status.prepared > version && status.armed != version);
+}
+
+std::optional<map_version> map_switch::completableVersion() const
+{
+    const auto held = heldStep();
+    const auto armed = std::find_if(m_ranks.begin(), m_ranks.end(), [&](const auto& entry) { return entry.second.armed && entry.second.armedStep == held; });
+    if (!held || armed == m_ranks.end())
+        return std::nullopt;
+    const map_version version = *armed->second.armed;
+    const bool isPossible = std::all_of(m_ranks.begin(), m_ranks.end(), [&](const auto& entry) {
+        const rank_status& status = entry.second;
+        return !isVoid(status, version) && (status.armed ? status.armed == version : status.prepared == version);
+    });
+    return isPossible ? std::optional(version) : std::nullopt;
+}
+
+bool map_switch::hasPassBegun() const
+{
+    return highestStep() >= m_step.value();
+}
+
 bool map_switch::areAllArmed() const
 {
-    if (m_ranks.empty() || !m_ranks.begin()->second.armed)
+    if (m_ranks.size() != m_groupSize || !m_ranks.begin()->second.armed)
         return false;
     const auto& first = m_ranks.begin()->second.armed;
     return std::all_of(m_ranks.begin(), m_ranks.end(), [&](const auto& entry) { return entry.second.armed == first; });
@@ -177,7 +213,7 @@
 void map_switch::returnToIdle(duration retryDelay, time_point now)
 {
     enterStage(stage::Idle, now);
-    m_nextSwitchAt = now + retryDelay;
+    m_nextSwitchAt = std::max(m_nextSwitchAt, now + retryDelay);
 }
 
 void map_switch::queueOrder(map_order::kind action, rank_id rank, map_version version, step_number step, std::shared_ptr<const expert_placement> placement)
@@ -223,7 +259,7 @@
 void map_switch::startHolding(time_point now)
 {
     std::uint64_t step = std::max(highestStep(), m_step.value()) + passesAhead;
-    while (step % coordinatorModulus != m_coordinator.value() % coordinatorModulus)
+    while (step % coordinatorModulus != m_coordinator.value() % coordinatorModulus || m_requestedHolds.contains(step_number(step)))
         ++step;
     m_step = step_number(step);
     m_requestedHolds.insert(m_step);
@@ -234,9 +270,19 @@
 void map_switch::startArming(time_point now)
 {
     m_armedRanks.clear();
+    m_armRefusedAt.clear();
     enterStage(stage::Arming, now);
-    for (const auto& [rank, status] : m_ranks)
-        queueOrder(map_order::kind::Arm, rank, m_version, m_step);
+    for (const auto& [rank, status] : m_ranks) {
+        if (status.armed != m_version)
+            queueOrder(map_order::kind::Arm, rank, m_version, m_step);
+    }
+}
+
+void map_switch::adoptSwitch(map_version version, time_point now)
+{
+    m_version = version;
+    m_placement.reset();
+    startArming(now);
 }
 
 void map_switch::startRelease(time_point now)
@@ -272,7 +318,6 @@
     if (!wasPaused)
         return;
     // Another coordinator may have acted in the meantime, so the present state is treated as a foreign switch.
-    m_requestedHolds.clear();
     m_orders.clear();
     m_foreignSince.reset();
     returnToIdle(shortRetryDelay, now);
@@ -283,14 +328,22 @@
     resetIfPaused(now);
     if (sent.epoch != m_epoch)
         return;
+    const bool isAccepted = result == map_order_result::Accepted;
+    if (isAccepted && sent.action == map_order::kind::Prepare)
+        m_acceptedVersions[sent.rank] = std::max(m_acceptedVersions[sent.rank], sent.version);
+    if (isAccepted && sent.action == map_order::kind::Disarm)
+        m_disarmedVersions[sent.rank] = sent.version;
     if (m_stage == stage::Preparing && sent.action == map_order::kind::Prepare && sent.version == m_version)
         onPrepareResult(sent, result, now);
     else if (m_stage == stage::Holding && sent.action == map_order::kind::Hold && sent.step == m_step)
         onHoldResult(sent, result, now);
     else if (m_stage == stage::Arming && sent.action == map_order::kind::Arm && sent.version == m_version)
         onArmResult(sent, result, now);
-    else if (m_stage == stage::RollingBack)
+    else if (m_stage == stage::RollingBack) {
         m_lastAnswerAt[sent.rank] = now;
+        if (isAccepted)
+            advanceRollback(now);
+    }
 }
 
 void map_switch::onPrepareResult(const map_order& sent, map_order_result result, time_point now)
@@ -308,14 +361,10 @@
 
 void map_switch::onHoldResult(const map_order& sent, map_order_result result, time_point now)
 {
-    // A coordinator that was paused may have been replaced in the meantime.
     const bool isTimely = now - m_stageSince <= holdTimeout;
     switch (result) {
     case map_order_result::Accepted:
-        if (isTimely)
-            startArming(now);
-        else
-            returnToIdle(longRetryDelay, now);
+        startArming(now);
         return;
     case map_order_result::Refused:
         if (isTimely && ++m_holdAttempts < maxHoldAttempts)
@@ -334,18 +383,19 @@
 
 void map_switch::onArmResult(const map_order& sent, map_order_result result, time_point now)
 {
-    const bool isTimely = now - m_stageSince <= armTimeout;
-    if (result == map_order_result::Unanswered && isTimely) {
-        m_orders.push_back(sent);
-        return;
-    }
-    if (result != map_order_result::Accepted || !isTimely) {
-        startRollback(now);
-        return;
+    switch (result) {
+    case map_order_result::Accepted:
+        m_armedRanks.insert(sent.rank);
+        break;
+    case map_order_result::Refused:
+        m_armRefusedAt.try_emplace(sent.rank, now);
+        break;
+    case map_order_result::Unanswered:
+        if (m_ranks[sent.rank].armed != m_version)
+            m_orders.push_back(sent);
+        break;
     }
-    m_armedRanks.insert(sent.rank);
-    if (m_armedRanks.size() == m_groupSize)
-        startRelease(now);
+    advanceArming(now);
 }
 
 void map_switch::advance(time_point now, bool isInCharge)
@@ -375,7 +425,10 @@
 
 void map_switch::advancePreparing(time_point now)
 {
-    if (areAllPrepared(m_version) && isComplete(now))
+    if (heldStep())
+        // Another coordinator's switch comes first, or a late hold of this one.
+        returnToIdle(duration {}, now);
+    else if (areAllPrepared(m_version) && isComplete(now))
         startHolding(now);
     else if (now - m_stageSince > m_copyTime + prepareSlack)
         returnToIdle(shortRetryDelay, now);
@@ -383,21 +436,41 @@
 
 void map_switch::advanceHolding(time_point now)
 {
-    if (now - m_stageSince > holdTimeout * 2)
+    if (heldStep() == m_step)
+        startArming(now);
+    else if (now - m_stageSince > holdTimeout * 2)
         returnToIdle(longRetryDelay, now);
 }
 
 void map_switch::advanceArming(time_point now)
 {
-    if (now - m_stageSince > armTimeout)
-        startRollback(now);
+    if (hasPassBegun()) {
+        // Another coordinator has completed the switch or rolled it back.
+        returnToIdle(shortRetryDelay, now);
+        return;
+    }
+    for (const auto& [rank, status] : m_ranks) {
+        if (status.armed == m_version)
+            m_armedRanks.insert(rank);
+    }
+    if (m_armedRanks.size() == m_groupSize) {
+        startRelease(now);
+        return;
+    }
+    for (const auto& [rank, refusedAt] : m_armRefusedAt) {
+        const bool isReasonKnown = m_ranks[rank].receivedAt > refusedAt || now - refusedAt > refusalReportTimeout;
+        if (!m_armedRanks.contains(rank) && isReasonKnown) {
+            startRollback(now);
+            return;
+        }
+    }
 }
 
 void map_switch::advanceReleasing(time_point now)
 {
     const auto known = m_ranks.find(holdingRank);
     const bool isReleased = known != m_ranks.end() && known->second.held != m_step && known->second.receivedAt > m_lastSentAt[holdingRank];
-    if (isReleased) {
+    if (isReleased || hasPassBegun()) {
         returnToIdle(duration {}, now);
         return;
     }
@@ -409,16 +482,23 @@
 
 void map_switch::rollBackRank(const rank_status& status, time_point now)
 {
+    const auto disarmed = m_disarmedVersions.find(status.rank);
+    const bool isDisarmed = disarmed != m_disarmedVersions.end() && status.armed == disarmed->second;
+    const bool isArmed = status.armed && !isDisarmed;
+    // A disarmed rank is made void at once.
     const auto answered = m_lastAnswerAt.find(status.rank);
-    const bool isAnswerKnown = answered != m_lastAnswerAt.end() && status.receivedAt > answered->second;
+    const bool isAnswerKnown = answered != m_lastAnswerAt.end() && (status.receivedAt > answered->second || isDisarmed);
     const auto last = m_lastSentAt.find(status.rank);
     if (last != m_lastSentAt.end() && now - last->second < resendInterval && !isAnswerKnown)
         return;
-    if (!status.armed && !updateRollbackPlacement())
+    const bool isDisarmable = isArmed && std::any_of(m_ranks.begin(), m_ranks.end(), [&](const auto& entry) { return isVoid(entry.second, *status.armed); });
+    if (isArmed && !isDisarmable)
+        return;
+    if (!isArmed && !updateRollbackPlacement())
         return;
     m_lastAnswerAt.erase(status.rank);
     m_lastSentAt[status.rank] = now;
-    if (status.armed)
+    if (isArmed)
         queueOrder(map_order::kind::Disarm, status.rank, *status.armed, {});
     else
         queueOrder(map_order::kind::Prepare, status.rank, m_rollbackVersion, {}, m_placement);
@@ -426,7 +506,6 @@
 
 void map_switch::advanceRollback(time_point now)
 {
-    bool isRolledBack = true;
     const bool isSuperseded = std::any_of(m_ranks.begin(), m_ranks.end(), [&](const auto& entry) {
         return entry.second.armed > m_rollbackVersion;
     });
@@ -435,18 +514,24 @@
         returnToIdle(longRetryDelay, now);
         return;
     }
+    const auto held = heldStep();
+    if (held && areAllArmed()) {
+        m_step = *held;
+        startRelease(now);
+        return;
+    }
+    bool isRolledBack = true;
     for (const auto& [rank, status] : m_ranks) {
-        // Reports from before this stage do not show the effect of late orders.
-        const bool isFresh = status.receivedAt > m_stageSince;
-        if (isFresh && !status.armed && status.prepared >= m_rollbackVersion)
+        const auto accepted = m_acceptedVersions.find(rank);
+        const bool hasAccepted = accepted != m_acceptedVersions.end() && accepted->second >= m_rollbackVersion;
+        if (hasAccepted || (!status.armed && status.prepared >= m_rollbackVersion))
             continue;
         isRolledBack = false;
-        if (isFresh)
-            rollBackRank(status, now);
+        rollBackRank(status, now);
     }
     if (!isRolledBack)
         return;
-    if (const auto held = heldStep()) {
+    if (held) {
         m_step = *held;
         startRelease(now);
         m_nextSwitchAt = now + longRetryDelay;
@@ -458,28 +543,34 @@
 void map_switch::watchForeignHold(time_point now, bool isInCharge)
 {
     const auto held = heldStep();
-    // The hold order was carried out after its switch had ended. At that point all ranks or none were armed, so the pass can
-    // be released.
-    if (held && m_requestedHolds.contains(*held) && isInCharge) {
-        m_step = *held;
-        startRelease(now);
-        m_nextSwitchAt = now + longRetryDelay;
-        return;
-    }
     const bool isAnyArmed = std::any_of(m_ranks.begin(), m_ranks.end(), [](const auto& entry) { return entry.second.armed.has_value(); });
-    if (!isComplete(now) || (!held && (!isAnyArmed || areAllArmed()))) {
+    const bool isUndecided = held || (isAnyArmed && !areAllArmed());
+    if (m_ranks.size() != m_groupSize || !isUndecided) {
         m_foreignSince.reset();
         return;
     }
-    if (!m_foreignSince)
+    if (!m_foreignSince || m_foreignStep != held)
         m_foreignSince = now;
-    if (now - *m_foreignSince < foreignHoldTimeout || !isInCharge)
-        return;
-    m_foreignSince.reset();
-    if (held)
+    m_foreignStep = held;
+    // A hold of this coordinator that was carried out after its switch had ended.
+    const bool isOwnHold = held && m_requestedHolds.contains(*held);
+    const duration age = now - *m_foreignSince;
+    if (held && (isOwnHold || age >= foreignHoldTimeout)) {
+        m_foreignSince.reset();
         m_step = *held;
-    if (held && areAllArmed())
+        resolveHold(now);
+    } else if (!held && age >= foreignArmTimeout && isInCharge) {
+        m_foreignSince.reset();
+        startRollback(now);
+    }
+}
+
+void map_switch::resolveHold(time_point now)
+{
+    if (areAllArmed())
         startRelease(now);
+    else if (const auto version = completableVersion())
+        adoptSwitch(*version, now);
     else
         startRollback(now);
 }
--- a/expert_map/map_switch.h
+++ b/expert_map/map_switch.h
@@ -23,10 +23,20 @@
 // 3. While the pass is held, all ranks are armed to switch at that pass.
 // 4. Once every rank has confirmed, the pass is released, usually before the group reaches it.
 //
-// If a rank does not confirm, the switch is rolled back: each rank is disarmed and prepares a still higher version, after
-// which it refuses a late arm order; then the pass is released. A coordinator in charge that finds another coordinator's hold
-// unchanged for over a second releases the pass if all ranks are armed, and otherwise rolls that switch back. Pure state
-// machine: takeOrders() returns the orders to send.
+// The ranks decide the outcome by their own state, so that any number of coordinators may act at once, and late orders of one
+// that was paused or killed change nothing:
+//
+// - The switch is committed once all ranks are armed. No rank is disarmed unless another one has become void.
+// - It is rolled back once a rank is void: unarmed, with a higher version prepared, so that it refuses to be armed. Only an
+//   unarmed rank takes a prepare order. Then the armed ranks are disarmed and all ranks are made void.
+// - The pass is released when all ranks are armed, or when all are void.
+//
+// Both states of a rank are final for the version, so an old report that shows one is still true. A version is armed only for one
+// pass, and no coordinator process holds the same pass twice.
+//
+// Arm orders without an answer are sent again until a rank refuses: rolling back takes more orders than completing. A coordinator,
+// also a standby one, that finds another's hold unchanged for foreignHoldTimeout completes that switch if some rank is armed
+// and no rank is void, and otherwise rolls it back. Pure state machine: takeOrders() returns the orders to send.
 class map_switch {
 public:
     enum class stage {
@@ -65,8 +75,8 @@
 
     void onOrderResult(const map_order&, map_order_result, time_point now);
 
-    // Handles timeouts and resends. Call ten times per second. A standby coordinator completes its own switch and otherwise
-    // only observes, so that it knows the age of a hold when it takes over.
+    // Handles timeouts and resends. Call at least ten times per second. A standby coordinator also completes or rolls back a
+    // switch whose hold it finds unchanged for too long.
     void advance(time_point now, bool isInCharge);
 
     // Returns the queued orders in the sequence in which to send them, and clears the queue.
@@ -88,6 +98,7 @@
     void queueOrder(map_order::kind, rank_id, map_version, step_number, std::shared_ptr<const expert_placement> placement = nullptr);
     void startHolding(time_point now);
     void startArming(time_point now);
+    void adoptSwitch(map_version, time_point now);
     void startRelease(time_point now);
     void startRollback(time_point now);
     void onPrepareResult(const map_order&, map_order_result, time_point now);
@@ -100,9 +111,16 @@
     void advanceRollback(time_point now);
     void rollBackRank(const rank_status&, time_point now);
     void watchForeignHold(time_point now, bool isInCharge);
+    void resolveHold(time_point now);
     bool areAllPrepared(map_version) const;
     // Whether all ranks are armed for the same map.
     bool areAllArmed() const;
+    // Whether the rank can no longer be armed for this version, nor for a lower one.
+    bool isVoid(const rank_status&, map_version) const;
+    // The version whose switch at the held pass can be completed: a rank is armed for it, and all others are or can be.
+    std::optional<map_version> completableVersion() const;
+    // Whether the pass of this switch has begun, by any report.
+    bool hasPassBegun() const;
     std::uint64_t highestVersion() const;
     map_version nextVersion();
     std::uint64_t highestStep() const;
@@ -133,6 +151,12 @@
     duration m_copyTime {};
     std::uint32_t m_holdAttempts = 0;
     std::set<rank_id> m_armedRanks;
+    // When a rank refused to be armed. It may have done so because the pass had begun.
+    std::map<rank_id, time_point> m_armRefusedAt;
+    // The highest version that each rank has accepted to prepare for this coordinator.
+    std::map<rank_id, map_version> m_acceptedVersions;
+    // The version that each rank has accepted to be disarmed for, until the next report after that.
+    std::map<rank_id, map_version> m_disarmedVersions;
     // Whether a prepare order of this switch got no answer and was sent again.
     bool m_hasResentPrepare = false;
     // When the last order of this stage was sent to each rank.
@@ -142,8 +166,11 @@
     std::vector<map_order> m_orders;
     // Since when a hold or an armed rank has been reported that belongs to no switch of this coordinator.
     std::optional<time_point> m_foreignSince;
+    // The pass that was held then.
+    std::optional<step_number> m_foreignStep;
     std::uint64_t m_highestUsedVersion = 0;
-    // Passes that this coordinator has ordered rank 0 to hold.
+    // Passes that this coordinator has ordered rank 0 to hold in this epoch. None of them is held a second time: a late
+    // release of the first hold would end the second one.
     std::set<step_number> m_requestedHolds;
 };
 
--- a/expert_map/rank_status.h
+++ b/expert_map/rank_status.h
@@ -23,6 +23,8 @@
     std::optional<map_version> prepared;
     // Map that the rank will switch to.
     std::optional<map_version> armed;
+    // Pass at which it will switch. Unknown if the report is from a build that does not tell it.
+    std::optional<step_number> armedStep;
     // Pass that this rank is holding back.
     std::optional<step_number> held;
     // Whether all ranks of the group are present.
--- a/fleet/fleet_message.cpp
+++ b/fleet/fleet_message.cpp
@@ -99,7 +99,8 @@
         const auto body = wire::Createrank_reportDirect(builder, message.group.value().c_str(), status.rank.value(), message.groupSize,
             status.epoch, status.step.value(), status.map.value(), status.prepared.value_or(map_version {}).value(), status.prepared.has_value(),
             status.armed.value_or(map_version {}).value(), status.armed.has_value(), status.held.value_or(step_number {}).value(),
-            status.held.has_value(), status.isOpen, status.pace, message.running, &counts, &experts, message.address.c_str(), message.zone.value().c_str());
+            status.held.has_value(), status.isOpen, status.pace, message.running, &counts, &experts, message.address.c_str(), message.zone.value().c_str(),
+            status.armedStep.value_or(step_number {}).value());
         finish(wire::datagram_body::rank_report, body.Union());
     }
 
@@ -262,6 +263,8 @@
         status.prepared = map_version(body.prepared());
     if (body.has_armed())
         status.armed = map_version(body.armed());
+    if (body.armed_step() != 0)
+        status.armedStep = step_number(body.armed_step());
     if (body.has_held())
         status.held = step_number(body.held());
     status.isOpen = body.open();
--- a/tests/fleet/fake_rank_group.h
+++ b/tests/fleet/fake_rank_group.h
@@ -95,6 +95,8 @@
             result.prepared = map_version(*source.prepared);
         if (source.armed)
             result.armed = map_version(source.armed->version);
+        if (source.armed)
+            result.armedStep = step_number(source.armed->step);
         if (source.held)
             result.held = step_number(*source.held);
         result.expertsBySet = { { static_cast<expert_number>(number.value()) } };
--- a/tests/fleet/fleet_message_test.cpp
+++ b/tests/fleet/fleet_message_test.cpp
@@ -21,6 +21,7 @@
         message.status.step = step_number(812);
         message.status.map = map_version(4);
         message.status.armed = map_version(5);
+        message.status.armedStep = step_number(12);
         message.status.expertsBySet = { { 1, 2 }, {}, { 7 } };
         message.address = "10.0.0.3:80";
         return message;
@@ -59,6 +60,7 @@
     EXPECT_EQ(message.status.expertsBySet, exampleRank().status.expertsBySet);
     EXPECT_EQ(message.address, "10.0.0.3:80");
     EXPECT_EQ(message.status.armed, map_version(5));
+    EXPECT_EQ(message.status.armedStep, step_number(12));
     EXPECT_FALSE(message.status.held);
 }
 
--- a/tests/fleet/map_switch_fault_test.cpp
+++ b/tests/fleet/map_switch_fault_test.cpp
@@ -31,10 +31,13 @@
 
 constexpr milliseconds restartTime { 800 };
 
-// Longest time for which any of the faults may delay the group's next pass. Late orders are carried out after up to 12 s, and
-// the coordinator may be frozen in the meantime.
+// Longest time for which several faults may delay the group's next pass. Late orders are carried out after up to 12 s, and the
+// coordinators may be frozen or restart in the meantime.
 constexpr milliseconds maxRecoveryTime { 9000 };
 
+// Longest time between two passes with one fault: a pass and the longest time for which one may be held.
+constexpr milliseconds maxPassGap { 470 };
+
 enum class order_fault {
     None,
     // Not carried out, and no answer.
@@ -49,6 +52,8 @@
     None,
     // Paused for three seconds after the order was sent.
     Frozen,
+    // The same, and its clock stands still meanwhile.
+    Suspended,
     // Terminated after the order was sent.
     Killed,
     // All coordinators are terminated after the order was sent, and start again, knowing nothing, after restartTime.
@@ -72,7 +77,7 @@
         , m_faults(std::move(faults))
     {
         for (std::uint32_t i = 0; i < coordinatorCount; ++i)
-            m_coordinators.push_back({ std::make_unique<map_switch>(rank_id(i), groupSize), {}, false, {}, 0 });
+            m_coordinators.push_back({ std::make_unique<map_switch>(rank_id(i), groupSize), {}, false, {}, 0, {} });
         at(milliseconds(1), [this] { pass(); });
         at(milliseconds(2), [this] { tick(); });
     }
@@ -115,6 +120,8 @@
         // Work that arrived while it was frozen.
         std::vector<std::function<void()>> pending;
         std::uint32_t reports = 0;
+        // Time for which its clock has stood still.
+        duration clockLag {};
     };
 
     void at(duration delay, std::function<void()> action)
@@ -122,6 +129,8 @@
         m_events.emplace(m_now + delay, std::move(action));
     }
 
+    time_point clockOf(std::size_t number) const { return m_now - m_coordinators[number].clockLag; }
+
     bool isRunning(const coordinator& one) const { return !one.isDead && m_now >= one.frozenUntil; }
 
     void pass()
@@ -169,7 +178,7 @@
         ++m_coordinators[number].reports;
         for (std::uint32_t i = 0; i < m_groupSize; ++i) {
             rank_status status = m_group.status(rank_id(i), m_now);
-            status.receivedAt = m_now;
+            status.receivedAt = clockOf(number);
             const bool listsExperts = (m_coordinators[number].reports + i) % m_reportsPerExpertList == 0;
             if (!listsExperts || m_rankWithoutAgent == rank_id(i))
                 status.expertsBySet.clear();
@@ -178,9 +187,9 @@
         for (const rank_id rank : logic.ranksLackingExperts())
             at(orderDelay, [this, number, rank] { run(number, [this, number, rank] { listExperts(number, rank); }); });
         const bool isInCharge = isFirstReachable(number);
-        logic.advance(m_now, isInCharge);
-        if (isInCharge && logic.currentPlacement(m_now))
-            logic.begin(roundRobinPlacement(1, m_groupSize, m_groupSize), milliseconds(300), m_now);
+        logic.advance(clockOf(number), isInCharge);
+        if (isInCharge && logic.currentPlacement(clockOf(number)))
+            logic.begin(roundRobinPlacement(1, m_groupSize, m_groupSize), milliseconds(300), clockOf(number));
         sendOrders(number);
     }
 
@@ -218,9 +227,11 @@
             one.isDead = true;
         if (what == coordinator_fault::AllRestarted)
             restartAll();
-        if (what != coordinator_fault::Frozen)
+        if (what != coordinator_fault::Frozen && what != coordinator_fault::Suspended)
             return;
         one.frozenUntil = m_now + milliseconds(3000);
+        if (what == coordinator_fault::Suspended)
+            at(milliseconds(3000), [this, number] { m_coordinators[number].clockLag += milliseconds(3000); });
         at(milliseconds(3000), [this, number] { resume(number); });
     }
 
@@ -230,7 +241,7 @@
             each.isDead = true;
         at(restartTime, [this] {
             for (std::uint32_t i = 0; i < coordinatorCount; ++i)
-                m_coordinators[i] = { std::make_unique<map_switch>(rank_id(i), m_groupSize), {}, false, {}, 0 };
+                m_coordinators[i] = { std::make_unique<map_switch>(rank_id(i), m_groupSize), {}, false, {}, 0, {} };
         });
     }
 
@@ -244,7 +255,7 @@
     void answer(std::size_t number, const map_order& order, map_order_result result)
     {
         run(number, [this, number, order, result] {
-            m_coordinators[number].logic->onOrderResult(order, result, m_now);
+            m_coordinators[number].logic->onOrderResult(order, result, clockOf(number));
             sendOrders(number);
         });
     }
@@ -296,7 +307,7 @@
     map_switch_simulation simulation(faults, groupSize);
     simulation.run(milliseconds(20000));
     EXPECT_FALSE(simulation.hasMixedMaps) << describe(faults);
-    EXPECT_LE(simulation.longestPassGap, maxRecoveryTime) << describe(faults);
+    EXPECT_LE(simulation.longestPassGap, faults.size() == 1 ? maxPassGap : maxRecoveryTime) << describe(faults);
     EXPECT_LE(simulation.sinceLastPass(), milliseconds(1000)) << describe(faults);
     EXPECT_GT(simulation.mapInUse(), 0U) << describe(faults);
 }
@@ -319,8 +330,11 @@
 TEST_F(map_switch_fault, switchWithOneFault_everyFaultAtEveryOrder_ranksAgree)
 {
     for (std::size_t order = 0; order < ordersOfTwoSwitches; ++order) {
-        for (const fault& one : allFaultsAt(order))
+        for (fault one : allFaultsAt(order)) {
             expectRecovery({ one });
+            one.onCoordinator = coordinator_fault::Suspended;
+            expectRecovery({ one });
+        }
     }
 }
 
@@ -328,10 +342,13 @@
 // ranks is handled alike, and the hold and the release are among them.
 TEST_F(map_switch_fault, largeGroups_faultsAtSomeOrders_ranksAgree)
 {
-    for (const std::uint32_t size : { 72U, 96U }) {
+    for (const std::uint32_t size : { 8U, 32U, 96U }) {
         for (const std::size_t order : { std::size_t { 0 }, std::size_t { size / 2 }, std::size_t { size }, std::size_t { size + 1 }, std::size_t { 2 * size + 1 } }) {
-            for (const fault& one : allFaultsAt(order))
+            for (fault one : allFaultsAt(order)) {
+                expectRecovery({ one }, size);
+                one.onCoordinator = coordinator_fault::Suspended;
                 expectRecovery({ one }, size);
+            }
         }
     }
 }
@@ -360,7 +377,7 @@
                 continue;
             fault one { order, static_cast<order_fault>(1 + random() % 3), coordinator_fault::None, milliseconds(2000 + random() % 10000) };
             if (random() % 20 == 0)
-                one.onCoordinator = coordinator_fault::Frozen;
+                one.onCoordinator = random() % 2 == 0 ? coordinator_fault::Frozen : coordinator_fault::Suspended;
             faults.push_back(one);
         }
         map_switch_simulation simulation(faults);
