Copy orders that are not answered, and hold passes far enough ahead

Under late orders a switch took 0.5 to 1.5 s to prepare and its group stood for 0.3 s, as each attempt waited 100 ms for its answer. Agents now send copies of an order to their runner every 12 ms until one is answered; late copies are harmless, since orders name their versions and passes. The pass to hold is as far ahead as the ranks took to confirm lately, at most four passes.

--- a/expert_map/map_switch.cpp
+++ b/expert_map/map_switch.cpp
@@ -10,9 +10,8 @@
 // No switch starts while the report of any rank is older than this.
 constexpr duration maxReportAge = std::chrono::milliseconds(600);
 
-// Distance from the newest reported pass to the pass to hold. A pass that waits for its release costs a few ms; a hold
-// order that arrives too late costs only another attempt.
-constexpr std::uint64_t passesAhead = 1;
+// Limit of the distance from the newest reported pass to the pass to hold. Until then, passes run with the old map.
+constexpr std::uint64_t maxPassesAhead = 4;
 constexpr std::uint32_t maxHoldAttempts = 4;
 
 // Each coordinator uses only version and pass numbers with the remainder of its rank by this modulus, so that coordinators
@@ -64,10 +63,13 @@
         m_foreignSince.reset();
         m_orders.clear();
         m_requestedHolds.clear();
+        m_lastStep = {};
         m_acceptedVersions.clear();
         m_disarmedVersions.clear();
     }
     m_disarmedVersions.erase(status.rank);
+    if (status.rank == holdingRank)
+        observePassTime(status);
     rank_status& known = m_ranks[status.rank];
     auto experts = known.map == status.map ? std::move(known.expertsBySet) : decltype(known.expertsBySet) {};
     known = status;
@@ -256,9 +258,35 @@
     return true;
 }
 
+void map_switch::observePassTime(const rank_status& status)
+{
+    // Passes of an idle or held group tell nothing of their time.
+    constexpr duration maxPassTime = std::chrono::milliseconds(500);
+    const std::uint64_t passes = status.step > m_lastStep ? status.step.value() - m_lastStep.value() : 0;
+    const duration elapsed = status.receivedAt - m_lastStepAt;
+    if (passes == 0)
+        return;
+    const duration passTime = elapsed / static_cast<std::int64_t>(passes);
+    if (passTime <= maxPassTime && !status.held)
+        m_passTime = m_passTime == duration {} ? passTime : (m_passTime + passTime) / 2;
+    m_lastStep = status.step;
+    m_lastStepAt = status.receivedAt;
+}
+
+std::uint64_t map_switch::passesAhead() const
+{
+    if (m_passTime <= duration {})
+        return 1;
+    // So far ahead that the ranks can confirm before the group reaches the pass.
+    const auto passes = static_cast<std::uint64_t>(m_confirmTime / m_passTime) + 1;
+    return std::min(passes, maxPassesAhead);
+}
+
 void map_switch::startHolding(time_point now)
 {
-    std::uint64_t step = std::max(highestStep(), m_step.value()) + passesAhead;
+    if (m_stage != stage::Holding)
+        m_holdOrderedAt = now;
+    std::uint64_t step = std::max(highestStep(), m_step.value()) + passesAhead();
     while (step % coordinatorModulus != m_coordinator.value() % coordinatorModulus || m_requestedHolds.contains(step_number(step)))
         ++step;
     m_step = step_number(step);
@@ -287,6 +315,8 @@
 
 void map_switch::startRelease(time_point now)
 {
+    if (m_stage == stage::Arming && m_requestedHolds.contains(m_step))
+        m_confirmTime = (m_confirmTime + (now - m_holdOrderedAt)) / 2;
     enterStage(stage::Releasing, now);
     m_lastSentAt[holdingRank] = now;
     queueOrder(map_order::kind::Release, holdingRank, {}, m_step);
--- a/expert_map/map_switch.h
+++ b/expert_map/map_switch.h
@@ -93,6 +93,8 @@
 
 private:
     void resetIfPaused(time_point now);
+    void observePassTime(const rank_status&);
+    std::uint64_t passesAhead() const;
     void enterStage(stage, time_point now);
     void returnToIdle(duration retryDelay, time_point now);
     void queueOrder(map_order::kind, rank_id, map_version, step_number, std::shared_ptr<const expert_placement> placement = nullptr);
@@ -169,6 +171,14 @@
     // The pass that was held then.
     std::optional<step_number> m_foreignStep;
     std::uint64_t m_highestUsedVersion = 0;
+    // Smoothed time from a hold order to the release.
+    duration m_confirmTime {};
+    time_point m_holdOrderedAt;
+    // Smoothed time of a pass. 0 while it is not known.
+    duration m_passTime {};
+    // The last pass that began, and when it was first reported by rank 0.
+    step_number m_lastStep;
+    time_point m_lastStepAt;
     // Passes that this coordinator has ordered rank 0 to hold in this epoch. None of them is held a second time: a late
     // release of the first hold would end the second one.
     std::set<step_number> m_requestedHolds;
--- a/fleet/agent_process.cpp
+++ b/fleet/agent_process.cpp
@@ -279,7 +279,7 @@
         socket->send(encode(delegated_result_message { message.id, delegated_result_message::outcome::BaseUnknown }), from);
         return;
     }
-    runner.send(options.runnerAddress, *order, [this, from, id = message.id, order = *order](map_order_result result) {
+    runner.send(options.runnerAddress, *order, true, [this, from, id = message.id, order = *order](map_order_result result) {
         using outcome = delegated_result_message::outcome;
         const bool isAccepted = result == map_order_result::Accepted;
         if (isAccepted && order.action == map_order::kind::Prepare)
@@ -534,7 +534,8 @@
 
 void agent_process::implementation::sendOrderToRunner(const map_order& order)
 {
-    runner.send(addressOf(order.rank), order, [this, order](map_order_result result) {
+    const std::string address = addressOf(order.rank);
+    runner.send(address, order, address == options.runnerAddress, [this, order](map_order_result result) {
         const bool isOwnPrepare = order.action == map_order::kind::Prepare && localReport && order.rank == localReport->status.rank;
         if (isOwnPrepare && result == map_order_result::Accepted)
             orderExecutor.onPrepared(order, localReport->status.map);
