Hold passes away from the coordinators, and end undecided switches sooner

The hold of a killed coordinator was often at its own rank, where nobody saw it until that rank was polled, and each order to that rank waited twice for the agent.

Passes are now held at the last rank. While one is held, the ranks beside coordinators are polled after 150 ms without a report, the runners of silent agents get their orders directly, and an order that an agent has not answered within 40 ms goes both ways, a whole map only if the agent is silent. An undecided switch is ended after 120 ms. A hold at rank 0, by an earlier build, is left alone for 1.3 s as before.

--- a/expert_map/map_switch.cpp
+++ b/expert_map/map_switch.cpp
@@ -34,10 +34,10 @@
 
 // Age of a hold at which any coordinator completes or rolls back the switch. Exceeds the time from a hold to its release when no
 // order is lost; two coordinators that act at once only send needless orders.
-constexpr duration foreignHoldTimeout = std::chrono::milliseconds(250);
+constexpr duration foreignHoldTimeout = std::chrono::milliseconds(120);
 
-// Time after which ranks that stay armed without a hold are reset.
-constexpr duration foreignArmTimeout = std::chrono::milliseconds(1300);
+// Time after which ranks that stay armed without a hold are reset, and a switch of a coordinator of an earlier build is ended.
+constexpr duration abandonedSwitchTimeout = std::chrono::milliseconds(1300);
 
 constexpr duration shortRetryDelay = std::chrono::milliseconds(500);
 // Used after an order got no answer, since further orders are likely to get none for a few seconds, and after a rollback.
@@ -68,7 +68,7 @@
         m_disarmedVersions.clear();
     }
     m_disarmedVersions.erase(status.rank);
-    if (status.rank == holdingRank)
+    if (status.rank == rank_id(0))
         observePassTime(status);
     rank_status& known = m_ranks[status.rank];
     auto experts = known.map == status.map ? std::move(known.expertsBySet) : decltype(known.expertsBySet) {};
@@ -134,10 +134,21 @@
     return highest;
 }
 
+std::optional<map_switch::hold> map_switch::currentHold() const
+{
+    // Earlier builds hold passes at rank 0.
+    for (const rank_id rank : { holdingRank(), rank_id(0) }) {
+        const auto known = m_ranks.find(rank);
+        if (known != m_ranks.end() && known->second.held)
+            return hold { rank, *known->second.held };
+    }
+    return std::nullopt;
+}
+
 std::optional<step_number> map_switch::heldStep() const
 {
-    const auto found = m_ranks.find(holdingRank);
-    return found == m_ranks.end() ? std::nullopt : found->second.held;
+    const auto hold = currentHold();
+    return hold ? std::optional(hold->step) : std::nullopt;
 }
 
 bool map_switch::areAllPrepared(map_version version) const
@@ -292,7 +303,8 @@
     m_step = step_number(step);
     m_requestedHolds.insert(m_step);
     enterStage(stage::Holding, now);
-    queueOrder(map_order::kind::Hold, holdingRank, {}, m_step);
+    m_holder = holdingRank();
+    queueOrder(map_order::kind::Hold, m_holder, {}, m_step);
 }
 
 void map_switch::startArming(time_point now)
@@ -318,8 +330,8 @@
     if (m_stage == stage::Arming && m_requestedHolds.contains(m_step))
         m_confirmTime = (m_confirmTime + (now - m_holdOrderedAt)) / 2;
     enterStage(stage::Releasing, now);
-    m_lastSentAt[holdingRank] = now;
-    queueOrder(map_order::kind::Release, holdingRank, {}, m_step);
+    m_lastSentAt[m_holder] = now;
+    queueOrder(map_order::kind::Release, m_holder, {}, m_step);
 }
 
 void map_switch::startRollback(time_point now)
@@ -498,15 +510,15 @@
 
 void map_switch::advanceReleasing(time_point now)
 {
-    const auto known = m_ranks.find(holdingRank);
-    const bool isReleased = known != m_ranks.end() && known->second.held != m_step && known->second.receivedAt > m_lastSentAt[holdingRank];
+    const auto known = m_ranks.find(m_holder);
+    const bool isReleased = known != m_ranks.end() && known->second.held != m_step && known->second.receivedAt > m_lastSentAt[m_holder];
     if (isReleased || hasPassBegun()) {
         returnToIdle(duration {}, now);
         return;
     }
-    if (now - m_lastSentAt[holdingRank] >= resendInterval) {
-        m_lastSentAt[holdingRank] = now;
-        queueOrder(map_order::kind::Release, holdingRank, {}, m_step);
+    if (now - m_lastSentAt[m_holder] >= resendInterval) {
+        m_lastSentAt[m_holder] = now;
+        queueOrder(map_order::kind::Release, m_holder, {}, m_step);
     }
 }
 
@@ -544,9 +556,12 @@
         returnToIdle(longRetryDelay, now);
         return;
     }
-    const auto held = heldStep();
+    const auto held = currentHold();
+    if (held) {
+        m_step = held->step;
+        m_holder = held->rank;
+    }
     if (held && areAllArmed()) {
-        m_step = *held;
         startRelease(now);
         return;
     }
@@ -562,7 +577,6 @@
     if (!isRolledBack)
         return;
     if (held) {
-        m_step = *held;
         startRelease(now);
         m_nextSwitchAt = now + longRetryDelay;
     } else {
@@ -572,24 +586,27 @@
 
 void map_switch::watchForeignHold(time_point now, bool isInCharge)
 {
-    const auto held = heldStep();
+    const auto held = currentHold();
     const bool isAnyArmed = std::any_of(m_ranks.begin(), m_ranks.end(), [](const auto& entry) { return entry.second.armed.has_value(); });
     const bool isUndecided = held || (isAnyArmed && !areAllArmed());
     if (m_ranks.size() != m_groupSize || !isUndecided) {
         m_foreignSince.reset();
         return;
     }
-    if (!m_foreignSince || m_foreignStep != held)
+    if (!m_foreignSince || m_foreignStep != heldStep())
         m_foreignSince = now;
-    m_foreignStep = held;
+    m_foreignStep = heldStep();
+    // Coordinators of earlier builds decide alone for a while.
+    const bool isDecidedByRanks = held && held->rank == holdingRank();
     // A hold of this coordinator that was carried out after its switch had ended.
-    const bool isOwnHold = held && m_requestedHolds.contains(*held);
+    const bool isOwnHold = held && m_requestedHolds.contains(held->step);
     const duration age = now - *m_foreignSince;
-    if (held && (isOwnHold || age >= foreignHoldTimeout)) {
+    if (held && (isOwnHold || (isDecidedByRanks && age >= foreignHoldTimeout) || (isInCharge && age >= abandonedSwitchTimeout))) {
         m_foreignSince.reset();
-        m_step = *held;
+        m_step = held->step;
+        m_holder = held->rank;
         resolveHold(now);
-    } else if (!held && age >= foreignArmTimeout && isInCharge) {
+    } else if (!held && isInCharge && age >= abandonedSwitchTimeout) {
         m_foreignSince.reset();
         startRollback(now);
     }
--- a/expert_map/map_switch.h
+++ b/expert_map/map_switch.h
@@ -19,7 +19,8 @@
 // Switches a rank group to a new expert map such that no forward pass begins while two ranks use different maps.
 //
 // 1. All ranks prepare the map, which copies the experts they lack.
-// 2. Rank 0 is ordered to hold a pass shortly ahead of the current one.
+// 2. The last rank is ordered to hold a pass shortly ahead of the current one. Coordinators run beside the first ranks, so that
+//    a hold can be seen and released when the machine of its coordinator has failed.
 // 3. While the pass is held, all ranks are armed to switch at that pass.
 // 4. Once every rank has confirmed, the pass is released, usually before the group reaches it.
 //
@@ -43,7 +44,7 @@
         Idle,
         // The ranks copy experts.
         Preparing,
-        // Rank 0 has been ordered to hold a pass.
+        // The last rank has been ordered to hold a pass.
         Holding,
         // The pass is held and the ranks are being armed.
         Arming,
@@ -53,9 +54,6 @@
         RollingBack,
     };
 
-    // Rank that holds passes.
-    static constexpr rank_id holdingRank { 0 };
-
     // `coordinator` is the rank that this coordinator runs next to. It determines the map versions and step numbers that this
     // coordinator uses, so that coordinators of neighboring ranks do not take each other's versions and holds for their own.
     map_switch(rank_id coordinator, std::uint32_t groupSize);
@@ -79,6 +77,12 @@
     // switch whose hold it finds unchanged for too long.
     void advance(time_point now, bool isInCharge);
 
+    // Whether a rank holds a pass.
+    bool isPassHeld() const { return currentHold().has_value(); }
+
+    // The rank that holds the passes of this coordinator's switches.
+    rank_id holdingRank() const { return rank_id(m_groupSize - 1); }
+
     // Returns the queued orders in the sequence in which to send them, and clears the queue.
     std::vector<map_order> takeOrders();
 
@@ -126,6 +130,12 @@
     std::uint64_t highestVersion() const;
     map_version nextVersion();
     std::uint64_t highestStep() const;
+    struct hold {
+        rank_id rank;
+        step_number step;
+    };
+
+    std::optional<hold> currentHold() const;
     std::optional<step_number> heldStep() const;
     // The map in use, or nullptr while the experts of a rank are not known or ranks report different maps.
     std::shared_ptr<const expert_placement> placementInUse() const;
@@ -146,6 +156,8 @@
     // Version that the ranks prepare in a rollback, so that they refuse late orders for m_version.
     map_version m_rollbackVersion;
     step_number m_step;
+    // Rank that holds the pass of this switch.
+    rank_id m_holder;
     std::shared_ptr<const expert_placement> m_placement;
     // The map in use when m_placement was chosen, and its version.
     std::shared_ptr<const expert_placement> m_basePlacement;
@@ -176,10 +188,10 @@
     time_point m_holdOrderedAt;
     // Smoothed time of a pass. 0 while it is not known.
     duration m_passTime {};
-    // The last pass that began, and when it was first reported by rank 0.
+    // The last pass that began, and when rank 0 first reported it.
     step_number m_lastStep;
     time_point m_lastStepAt;
-    // Passes that this coordinator has ordered rank 0 to hold in this epoch. None of them is held a second time: a late
+    // Passes that this coordinator has ordered to be held in this epoch. None of them is held a second time: a late
     // release of the first hold would end the second one.
     std::set<step_number> m_requestedHolds;
 };
--- a/fleet/agent_process.cpp
+++ b/fleet/agent_process.cpp
@@ -179,7 +179,7 @@
 
 bool agent_process::implementation::isSwitching() const
 {
-    if (coordinator && coordinator->isBusy())
+    if (coordinator && (coordinator->isBusy() || coordinator->isPassHeld()))
         return true;
     if (!localReport)
         return false;
@@ -514,7 +514,7 @@
     coordinator->setLimits(limits);
     coordinator->advance(now, isActiveCoordinator);
     sendDemandRoutes();
-    if (isActiveCoordinator || coordinator->isBusy())
+    if (isActiveCoordinator || coordinator->isBusy() || coordinator->isPassHeld())
         pollSilentRanks();
     readLackingExperts();
 }
@@ -546,7 +546,9 @@
 
 void agent_process::implementation::pollSilentRanks()
 {
-    for (const rank_id rank : coordinator->silentRanks(steadyNow())) {
+    const std::vector<rank_id> silent = coordinator->silentRanks(steadyNow());
+    dispatcher->setSilentRanks(silent);
+    for (const rank_id rank : silent) {
         if (!polledRanks.insert(rank).second)
             continue;
         runner.readReport(addressOf(rank), [this, rank](std::optional<platform::runner_report> report) {
--- a/fleet/group_coordinator.cpp
+++ b/fleet/group_coordinator.cpp
@@ -19,6 +19,10 @@
 // A rank without a report for this long is silent. Reports arrive ten times a second.
 constexpr duration reportTimeout = std::chrono::milliseconds(350);
 
+// The same for the ranks beside coordinators while a pass is held, since the hold may be that of a coordinator that has failed.
+constexpr duration coordinatorReportTimeout = std::chrono::milliseconds(150);
+constexpr std::uint32_t coordinatorRanks = 3;
+
 // Interval of reading the experts of ranks that have not reported them.
 constexpr duration expertReadInterval = std::chrono::milliseconds(300);
 
@@ -139,7 +143,7 @@
 void group_coordinator::observe(const rank_status& status)
 {
     m_orders.onStatus(status);
-    if (status.rank != map_switch::holdingRank)
+    if (status.rank != m_switch.holdingRank())
         return;
     const auto ended = m_holds.onStatus(status);
     if (!ended || !m_isActive)
@@ -249,7 +253,9 @@
     std::vector<rank_id> silent;
     for (std::uint32_t rank = 0; rank < m_groupSize; ++rank) {
         const auto known = m_switch.ranks().find(rank_id(rank));
-        if (known == m_switch.ranks().end() || now - known->second.receivedAt > reportTimeout)
+        const bool isUrgent = rank < coordinatorRanks && m_switch.isPassHeld();
+        const duration timeout = isUrgent ? coordinatorReportTimeout : reportTimeout;
+        if (known == m_switch.ranks().end() || now - known->second.receivedAt > timeout)
             silent.emplace_back(rank);
     }
     return silent;
--- a/fleet/group_coordinator.h
+++ b/fleet/group_coordinator.h
@@ -69,6 +69,9 @@
     // Whether a map switch is in progress. It must be completed or rolled back before the coordinator is destroyed.
     bool isBusy() const { return m_switch.currentStage() != map_switch::stage::Idle; }
 
+    // Whether a rank holds a pass, for this or another coordinator.
+    bool isPassHeld() const { return m_switch.isPassHeld(); }
+
     // Ranks without a recent report, whose runners must be polled directly.
     std::vector<rank_id> silentRanks(time_point now) const;
 
--- a/fleet/map_order_dispatcher.cpp
+++ b/fleet/map_order_dispatcher.cpp
@@ -10,6 +10,9 @@
 // Covers an agent's own timeout for its runner, the link and a turn of the processor.
 constexpr duration agentTimeout = std::chrono::milliseconds(200);
 
+// Time after which an order other than a prepare order also goes directly to the runner.
+constexpr duration directCopyDelay = std::chrono::milliseconds(40);
+
 // An agent that missed this many orders in a row is probably down or cut off; its runner may still be reached. A single
 // order may be lost on the way.
 constexpr std::uint32_t maxMissedOrders = 2;
@@ -71,6 +74,8 @@
 
 bool map_order_dispatcher::isAgentSilent(rank_id rank, time_point now) const
 {
+    if (std::find(m_silent.begin(), m_silent.end(), rank) != m_silent.end())
+        return true;
     const auto missed = m_missed.find(rank);
     return missed != m_missed.end() && missed->second.count >= maxMissedOrders && now - missed->second.lastAt < passOverTime;
 }
@@ -88,7 +93,16 @@
 
 void map_order_dispatcher::onDirectResult(const map_order& order, map_order_result result)
 {
-    std::erase_if(m_direct, [&](const map_order& other) { return isSameOrder(other, order); });
+    const auto inFlight = std::erase_if(m_direct, [&](const map_order& other) { return isSameOrder(other, order); });
+    if (inFlight == 0)
+        // The agent has answered before.
+        return;
+    const auto pending = std::find_if(m_pending.begin(), m_pending.end(), [&](const auto& entry) { return isSameOrder(entry.second.order, order); });
+    if (pending != m_pending.end()) {
+        if (result == map_order_result::Unanswered)
+            return;
+        m_pending.erase(pending);
+    }
     m_hooks.onResult(order, result);
 }
 
@@ -144,7 +158,7 @@
     message.order = order;
     if (order.placement)
         setDelta(message, order, isBaseKnown);
-    m_pending[message.id] = { order, now };
+    m_pending[message.id] = { order, now, false };
     m_hooks.sendToAgent(message);
 }
 
@@ -156,6 +170,7 @@
     const map_order order = found->second.order;
     m_pending.erase(found);
     m_missed.erase(order.rank);
+    std::erase_if(m_direct, [&](const map_order& other) { return isSameOrder(other, order); });
     if (message.result == delegated_result_message::outcome::BaseUnknown)
         sendToAgent(order, false, now);
     else
@@ -164,6 +179,13 @@
 
 void map_order_dispatcher::advance(time_point now)
 {
+    for (auto& [id, pending] : m_pending) {
+        const bool isDue = now - pending.sentAt >= directCopyDelay && (pending.order.placement ? isAgentSilent(pending.order.rank, now) && canSendWholeMap() : true);
+        if (pending.isSentDirectly || !isDue)
+            continue;
+        pending.isSentDirectly = true;
+        sendDirectly(pending.order);
+    }
     std::vector<map_order> unanswered;
     std::erase_if(m_pending, [&](const auto& entry) {
         if (now - entry.second.sentAt < agentTimeout)
@@ -175,7 +197,9 @@
         missed_orders& missed = m_missed[order.rank];
         ++missed.count;
         missed.lastAt = now;
-        m_hooks.onResult(order, map_order_result::Unanswered);
+        const bool isStillSent = std::any_of(m_direct.begin(), m_direct.end(), [&](const map_order& other) { return isSameOrder(other, order); });
+        if (!isStillSent)
+            m_hooks.onResult(order, map_order_result::Unanswered);
     }
 }
 
--- a/fleet/map_order_dispatcher.h
+++ b/fleet/map_order_dispatcher.h
@@ -12,12 +12,13 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace sardinelb {
 
 // Delivers a coordinator's orders: through the agents of the ranks where that is quicker, and directly to the runner of a
-// rank whose agent does not answer. A prepare order that goes directly carries the whole map. In a large group these orders
+// rank whose agent does not answer. An order that stops a group goes both ways if the agent does not answer at once. A prepare order that goes directly carries the whole map. In a large group these orders
 // would fill the link and delay all others, so few of them are in flight at once, and no order is sent again while it is in
 // flight. Pure state machine.
 class map_order_dispatcher {
@@ -35,6 +36,9 @@
     // taken for the answer to an order of this one, and a pass released before all ranks are armed.
     map_order_dispatcher(group_id, rank_id local, std::uint64_t firstId, hooks);
 
+    // The ranks whose agents have not reported lately. Their runners get their orders directly.
+    void setSilentRanks(std::vector<rank_id> ranks) { m_silent = std::move(ranks); }
+
     void dispatch(const map_order&, time_point now);
     void onDirectResult(const map_order&, map_order_result);
     void onDelegatedResult(const delegated_result_message&, time_point now);
@@ -46,6 +50,7 @@
     struct pending_order {
         map_order order;
         time_point sentAt;
+        bool isSentDirectly = false;
     };
 
     bool isInFlight(const map_order&) const;
@@ -70,6 +75,7 @@
         time_point lastAt;
     };
     std::map<rank_id, missed_orders> m_missed;
+    std::vector<rank_id> m_silent;
     // The last differences computed, since all ranks get the same one.
     std::shared_ptr<const expert_placement> m_deltaTarget;
     std::size_t m_targetExperts = 0;
