Arm the coordinator's own rank through a witness, and bind a rollback to one held pass

The runner beside a frozen machine cannot be reached, so a standby could not know whether that rank was armed and had to hold the group until the machine woke.

--- a/expert_map/map_order.h
+++ b/expert_map/map_order.h
@@ -21,6 +21,9 @@
         Hold,
         // Let the held pass begin.
         Release,
+        // For the agent beside the holding rank: never send an arm order for the pass `step` to this rank. Refused if one
+        // has been sent, and unanswered if an earlier process may have sent one. No runner gets this order.
+        Seal,
     };
 
     kind action = kind::Prepare;
@@ -33,6 +36,8 @@
     // The map in use, to which a prepare order may refer. Set only for Prepare.
     std::shared_ptr<const expert_placement> basePlacement = nullptr;
     map_version base {};
+    // Whether the agent beside the holding rank gives the order to the runner, as for Seal.
+    bool isWitnessed = false;
 };
 
 }
--- a/expert_map/map_switch.cpp
+++ b/expert_map/map_switch.cpp
@@ -23,6 +23,12 @@
 constexpr duration holdTimeout = std::chrono::milliseconds(300);
 constexpr duration resendInterval = std::chrono::milliseconds(120);
 
+// Time after which arming is given up. Covers several rounds of copies of orders.
+constexpr duration armTimeout = std::chrono::milliseconds(600);
+
+// A rank that has neither reported nor answered a poll for this long cannot be reached.
+constexpr duration unreachableTimeout = std::chrono::milliseconds(250);
+
 // Time for a report that shows why a rank has refused to be armed.
 constexpr duration refusalReportTimeout = std::chrono::milliseconds(200);
 
@@ -65,6 +71,8 @@
         m_requestedHolds.clear();
         m_lastStep = {};
         m_acceptedVersions.clear();
+        m_sealedSteps.clear();
+        m_unsealableSteps.clear();
         m_disarmedVersions.clear();
     }
     m_disarmedVersions.erase(status.rank);
@@ -72,7 +80,10 @@
         observePassTime(status);
     rank_status& known = m_ranks[status.rank];
     auto experts = known.map == status.map ? std::move(known.expertsBySet) : decltype(known.expertsBySet) {};
+    const bool wasWitness = known.isWitness;
     known = status;
+    // Unknown in a report polled from the runner.
+    known.isWitness = known.isWitness || wasWitness;
     // A report polled directly from another rank's runner does not list the experts.
     if (known.expertsBySet.empty())
         known.expertsBySet = std::move(experts);
@@ -236,9 +247,17 @@
         order.basePlacement = m_basePlacement;
         order.base = m_base;
     }
+    order.isWitnessed = action == map_order::kind::Seal || (action == map_order::kind::Arm && rank == witnessedRank());
     m_orders.push_back(std::move(order));
 }
 
+std::optional<rank_id> map_switch::witnessedRank() const
+{
+    if (m_groupSize <= coordinatorModulus || m_holder != holdingRank())
+        return std::nullopt;
+    return rank_id(static_cast<std::uint32_t>(m_step.value() % coordinatorModulus));
+}
+
 std::vector<map_order> map_switch::takeOrders()
 {
     return std::exchange(m_orders, {});
@@ -253,7 +272,9 @@
             return false;
     }
     const auto base = placementInUse();
-    if (!base)
+    // An agent of an earlier build does not give orders to another rank.
+    const bool hasWitness = m_ranks.rbegin()->second.isWitness;
+    if (!base || !hasWitness)
         return false;
     m_version = nextVersion();
     m_placement = std::make_shared<expert_placement>(placement);
@@ -311,11 +332,22 @@
 {
     m_armedRanks.clear();
     m_armRefusedAt.clear();
+    m_isWitnessedArmSent = false;
     enterStage(stage::Arming, now);
     for (const auto& [rank, status] : m_ranks) {
-        if (status.armed != m_version)
+        if (status.armed != m_version && rank != witnessedRank())
             queueOrder(map_order::kind::Arm, rank, m_version, m_step);
     }
+    advanceArming(now);
+}
+
+void map_switch::armWitnessedRank()
+{
+    const auto rank = witnessedRank();
+    if (!rank || m_isWitnessedArmSent || m_armedRanks.contains(*rank) || m_armedRanks.size() + 1 < m_groupSize)
+        return;
+    m_isWitnessedArmSent = true;
+    queueOrder(map_order::kind::Arm, *rank, m_version, m_step);
 }
 
 void map_switch::adoptSwitch(map_version version, time_point now)
@@ -336,6 +368,15 @@
 
 void map_switch::startRollback(time_point now)
 {
+    const auto held = heldStep();
+    if (m_stage == stage::Arming && held && held != m_step) {
+        // The pass of this switch has been released, and another switch has begun.
+        returnToIdle(shortRetryDelay, now);
+        return;
+    }
+    m_rollbackStep = held ? held : m_stage == stage::Arming ? std::optional(m_step)
+                                                            : std::nullopt;
+    // The rank that holds the pass reports the version that ranks may be armed for, so this one is higher.
     m_rollbackVersion = nextVersion();
     m_placement.reset();
     enterStage(stage::RollingBack, now);
@@ -375,6 +416,10 @@
         m_acceptedVersions[sent.rank] = std::max(m_acceptedVersions[sent.rank], sent.version);
     if (isAccepted && sent.action == map_order::kind::Disarm)
         m_disarmedVersions[sent.rank] = sent.version;
+    if (sent.action == map_order::kind::Seal) {
+        onSealResult(sent, result, now);
+        return;
+    }
     if (m_stage == stage::Preparing && sent.action == map_order::kind::Prepare && sent.version == m_version)
         onPrepareResult(sent, result, now);
     else if (m_stage == stage::Holding && sent.action == map_order::kind::Hold && sent.step == m_step)
@@ -499,6 +544,11 @@
         startRelease(now);
         return;
     }
+    if (now - m_stageSince > armTimeout) {
+        startRollback(now);
+        return;
+    }
+    armWitnessedRank();
     for (const auto& [rank, refusedAt] : m_armRefusedAt) {
         const bool isReasonKnown = m_ranks[rank].receivedAt > refusedAt || now - refusedAt > refusalReportTimeout;
         if (!m_armedRanks.contains(rank) && isReasonKnown) {
@@ -522,6 +572,41 @@
     }
 }
 
+bool map_switch::isUnreachable(rank_id rank, time_point now) const
+{
+    const auto known = m_ranks.find(rank);
+    return known == m_ranks.end() || now - known->second.receivedAt > unreachableTimeout;
+}
+
+bool map_switch::sealWitnessedRank(time_point now)
+{
+    const auto rank = witnessedRank();
+    if (!rank || !isUnreachable(*rank, now) || m_sealedSteps.contains(m_step) || m_unsealableSteps.contains(m_step))
+        return true;
+    if (now - m_sealSentAt >= resendInterval) {
+        m_sealSentAt = now;
+        queueOrder(map_order::kind::Seal, *rank, {}, m_step);
+    }
+    return false;
+}
+
+void map_switch::onSealResult(const map_order& sent, map_order_result result, time_point now)
+{
+    if (result == map_order_result::Unanswered)
+        return;
+    const bool isSealed = result == map_order_result::Accepted;
+    (isSealed ? m_sealedSteps : m_unsealableSteps).insert(sent.step);
+    if (m_stage != stage::RollingBack || heldStep() != sent.step)
+        return;
+    if (isSealed) {
+        advanceRollback(now);
+        return;
+    }
+    // The witnessed rank has been sent its arm order, so all others were armed.
+    if (const auto version = completableVersion())
+        adoptSwitch(*version, now);
+}
+
 void map_switch::rollBackRank(const rank_status& status, time_point now)
 {
     const auto disarmed = m_disarmedVersions.find(status.rank);
@@ -533,7 +618,8 @@
     const auto last = m_lastSentAt.find(status.rank);
     if (last != m_lastSentAt.end() && now - last->second < resendInterval && !isAnswerKnown)
         return;
-    const bool isDisarmable = isArmed && std::any_of(m_ranks.begin(), m_ranks.end(), [&](const auto& entry) { return isVoid(entry.second, *status.armed); });
+    const bool isSealed = witnessedRank() && m_sealedSteps.contains(m_step);
+    const bool isDisarmable = isArmed && (isSealed || std::any_of(m_ranks.begin(), m_ranks.end(), [&](const auto& entry) { return isVoid(entry.second, *status.armed); }));
     if (isArmed && !isDisarmable)
         return;
     if (!isArmed && !updateRollbackPlacement())
@@ -557,6 +643,11 @@
         return;
     }
     const auto held = currentHold();
+    if (held && held->step != m_rollbackStep) {
+        // Ranks may have been armed for this other pass with a version that is higher than that of the rollback.
+        returnToIdle(shortRetryDelay, now);
+        return;
+    }
     if (held) {
         m_step = held->step;
         m_holder = held->rank;
@@ -565,11 +656,14 @@
         startRelease(now);
         return;
     }
+    if (held && !sealWitnessedRank(now))
+        return;
     bool isRolledBack = true;
     for (const auto& [rank, status] : m_ranks) {
         const auto accepted = m_acceptedVersions.find(rank);
         const bool hasAccepted = accepted != m_acceptedVersions.end() && accepted->second >= m_rollbackVersion;
-        if (hasAccepted || (!status.armed && status.prepared >= m_rollbackVersion))
+        const bool isSealed = held && rank == witnessedRank() && m_sealedSteps.contains(m_step);
+        if (isSealed || hasAccepted || (!status.armed && status.prepared >= m_rollbackVersion))
             continue;
         isRolledBack = false;
         rollBackRank(status, now);
@@ -614,9 +708,11 @@
 
 void map_switch::resolveHold(time_point now)
 {
+    const auto witnessed = witnessedRank();
+    const auto version = completableVersion();
     if (areAllArmed())
         startRelease(now);
-    else if (const auto version = completableVersion())
+    else if (version && !(witnessed && isUnreachable(*witnessed, now)))
         adoptSwitch(*version, now);
     else
         startRollback(now);
--- a/expert_map/map_switch.h
+++ b/expert_map/map_switch.h
@@ -32,6 +32,10 @@
 //   unarmed rank takes a prepare order. Then the armed ranks are disarmed and all ranks are made void.
 // - The pass is released when all ranks are armed, or when all are void.
 //
+// One rank, which is that of the coordinator among the first three, gets its arm order only through the agent beside the last
+// rank, its witness, and after all others, so that the time in which nobody knows its state is short. If the machine of the coordinator fails such that the rank beside it cannot be reached either, the
+// witness knows whether that rank was armed; if not, it seals that, and the rank counts as void for the held pass.
+//
 // Both states of a rank are final for the version, so an old report that shows one is still true. A version is armed only for one
 // pass, and no coordinator process holds the same pass twice.
 //
@@ -104,8 +108,11 @@
     void queueOrder(map_order::kind, rank_id, map_version, step_number, std::shared_ptr<const expert_placement> placement = nullptr);
     void startHolding(time_point now);
     void startArming(time_point now);
+    // Arms the witnessed rank once all others are armed.
+    void armWitnessedRank();
     void adoptSwitch(map_version, time_point now);
     void startRelease(time_point now);
+    bool isUnreachable(rank_id, time_point now) const;
     void startRollback(time_point now);
     void onPrepareResult(const map_order&, map_order_result, time_point now);
     void onHoldResult(const map_order&, map_order_result, time_point now);
@@ -115,6 +122,12 @@
     void advanceArming(time_point now);
     void advanceReleasing(time_point now);
     void advanceRollback(time_point now);
+    // The rank that is armed through the witness for the held pass. Nothing if the group is too small, or if the pass is held for an
+    // earlier build.
+    std::optional<rank_id> witnessedRank() const;
+    // Deals with a witnessed rank that cannot be reached. Returns whether the rollback can go on.
+    bool sealWitnessedRank(time_point now);
+    void onSealResult(const map_order&, map_order_result, time_point now);
     void rollBackRank(const rank_status&, time_point now);
     void watchForeignHold(time_point now, bool isInCharge);
     void resolveHold(time_point now);
@@ -155,6 +168,8 @@
     map_version m_version;
     // Version that the ranks prepare in a rollback, so that they refuse late orders for m_version.
     map_version m_rollbackVersion;
+    // The held pass that the rollback is for.
+    std::optional<step_number> m_rollbackStep;
     step_number m_step;
     // Rank that holds the pass of this switch.
     rank_id m_holder;
@@ -165,10 +180,15 @@
     duration m_copyTime {};
     std::uint32_t m_holdAttempts = 0;
     std::set<rank_id> m_armedRanks;
+    bool m_isWitnessedArmSent = false;
     // When a rank refused to be armed. It may have done so because the pass had begun.
     std::map<rank_id, time_point> m_armRefusedAt;
     // The highest version that each rank has accepted to prepare for this coordinator.
     std::map<rank_id, map_version> m_acceptedVersions;
+    // Passes for which the witness has confirmed that the witnessed rank is not armed and will not be, or that it may be.
+    std::set<step_number> m_sealedSteps;
+    std::set<step_number> m_unsealableSteps;
+    time_point m_sealSentAt;
     // The version that each rank has accepted to be disarmed for, until the next report after that.
     std::map<rank_id, map_version> m_disarmedVersions;
     // Whether a prepare order of this switch got no answer and was sent again.
--- a/expert_map/order_statistics.cpp
+++ b/expert_map/order_statistics.cpp
@@ -32,6 +32,7 @@
         return status.held == order.step;
     case map_order::kind::Disarm:
     case map_order::kind::Release:
+    case map_order::kind::Seal:
         break;
     }
     return false;
--- a/expert_map/rank_status.h
+++ b/expert_map/rank_status.h
@@ -31,6 +31,8 @@
     bool isOpen = true;
     // Slowdown factor: 1 at normal speed, more for a slow rank.
     double pace = 1;
+    // Whether the agent beside the rank can be the witness of a switch (see map_switch). Not known from the runner itself.
+    bool isWitness = false;
     // Experts that the rank holds in the map in use, by expert set.
     std::vector<std::vector<expert_number>> expertsBySet;
     time_point receivedAt;
--- a/fleet/agent_process.cpp
+++ b/fleet/agent_process.cpp
@@ -1,5 +1,6 @@
 #include "fleet/agent_process.h"
 
+#include "expert_map/arm_witness.h"
 #include "fleet/demand_reporting.h"
 #include "fleet/event_log.h"
 #include "fleet/fleet_message.h"
@@ -106,6 +107,7 @@
     std::uint32_t rankReportCount = 0;
     std::uint32_t expertListsDue = 0;
     map_order_executor orderExecutor;
+    arm_witness witness;
     bool isRunnerCopying = false;
     // A runner that answers slowly gets one report request at a time; more would make it slower still.
     bool isReadingReport = false;
@@ -132,6 +134,8 @@
     void onRankReport(const rank_message&);
     void onDemandReport(const demand_report_message&);
     void onDelegatedOrder(const delegated_order_message&, const udp::endpoint& from);
+    void onWitnessedOrder(const map_order&, const std::function<void(map_order_result)>& answer);
+    bool isHoldingRank() const;
     void readRunner();
     void onRunnerReport(std::optional<platform::runner_report>);
     void readExperts();
@@ -271,8 +275,18 @@
 
 void agent_process::implementation::onDelegatedOrder(const delegated_order_message& message, const udp::endpoint& from)
 {
-    const bool isForThisRank = localReport && message.group == localReport->group && message.order.rank == localReport->status.rank;
-    if (!isForThisRank)
+    if (!localReport || message.group != localReport->group)
+        return;
+    if (message.order.isWitnessed) {
+        onWitnessedOrder(message.order, [this, from, id = message.id](map_order_result result) {
+            using outcome = delegated_result_message::outcome;
+            const outcome answer = result == map_order_result::Accepted ? outcome::Accepted : result == map_order_result::Refused ? outcome::Refused
+                                                                                                                                  : outcome::Unanswered;
+            socket->send(encode(delegated_result_message { id, answer }), from);
+        });
+        return;
+    }
+    if (message.order.rank != localReport->status.rank)
         return;
     const auto order = orderExecutor.complete(message);
     if (!order) {
@@ -292,6 +306,39 @@
     });
 }
 
+bool agent_process::implementation::isHoldingRank() const
+{
+    return localReport->status.rank.value() + 1 == localReport->groupSize;
+}
+
+void agent_process::implementation::onWitnessedOrder(const map_order& order, const std::function<void(map_order_result)>& answer)
+{
+    if (!isHoldingRank() || order.epoch != localReport->status.epoch)
+        return;
+    if (order.action == map_order::kind::Seal) {
+        const std::optional<bool> isSealed = witness.seal(order.step);
+        log.write("arm_sealed", { { "group", localReport->group.value() }, { "rank", static_cast<std::int64_t>(order.rank.value()) }, { "step", static_cast<std::int64_t>(order.step.value()) }, { "accepted", isSealed.value_or(false) }, { "known", isSealed.has_value() } });
+        if (isSealed)
+            answer(*isSealed ? map_order_result::Accepted : map_order_result::Refused);
+        return;
+    }
+    const std::string address = addressOf(order.rank);
+    if (order.action != map_order::kind::Arm || !witness.mayArm(order.step, order.version)) {
+        answer(map_order_result::Refused);
+    } else if (witness.isArmed(order.step, order.version)) {
+        answer(map_order_result::Accepted);
+    } else if (address.empty()) {
+        answer(map_order_result::Unanswered);
+    } else {
+        witness.onArmSent(order.step, order.version);
+        runner.send(address, order, false, [this, order, answer](map_order_result result) {
+            if (result == map_order_result::Accepted)
+                witness.onArmed(order.step, order.version);
+            answer(result);
+        });
+    }
+}
+
 void agent_process::implementation::onHeartbeat(const entry_heartbeat_message& heartbeat, const udp::endpoint& from)
 {
     const time_point now = steadyNow();
@@ -357,7 +404,9 @@
     const rank_status before = localReport ? std::move(localReport->status) : rank_status {};
     if (!localReport || before.prepared != message.status.prepared)
         preparedAt = now;
+    message.status.isWitness = true;
     localReport = std::move(message);
+    witness.onStatus(localReport->status);
     demand.setGroup(localReport->group, localReport->status.epoch);
     const bool areHeldExpertsCurrent = heldExperts && heldExperts->epoch == localReport->status.epoch && heldExperts->map == localReport->status.map;
     if (areHeldExpertsCurrent)
@@ -478,7 +527,7 @@
     const rank_id local = localReport->status.rank;
     map_order_dispatcher::hooks delivery;
     delivery.sendDirectly = [this](const map_order& order) { sendOrderToRunner(order); };
-    delivery.sendToAgent = [this](const delegated_order_message& message) { sendToAgent(addressOf(message.order.rank), message); };
+    delivery.sendToAgent = [this](const delegated_order_message& message) { sendToAgent(addressOf(message.order.isWitnessed ? rank_id(localReport->groupSize - 1) : message.order.rank), message); };
     delivery.onResult = [this](const map_order& order, map_order_result result) { coordinator->onOrderResult(order, result, steadyNow()); };
     // Microseconds since the machine started, so that they exceed the numbers of an earlier process, too.
     const auto firstId = static_cast<std::uint64_t>(steadyNow().time_since_epoch().count());
@@ -563,6 +612,15 @@
 void agent_process::implementation::readLackingExperts()
 {
     for (const rank_id rank : coordinator->takeRanksLackingExperts(steadyNow())) {
+        // This agent has got the map in use as an order, unless it has just started.
+        const rank_status& local = localReport->status;
+        if (const auto placement = orderExecutor.placementOf(local.epoch, local.map)) {
+            std::vector<std::vector<expert_number>> experts;
+            for (const auto& byRank : placement->sets)
+                experts.push_back(byRank[rank.value()]);
+            coordinator->onExperts(rank, local.epoch, local.map, std::move(experts));
+            continue;
+        }
         runner.readExperts(addressOf(rank), [this, rank](std::optional<platform::held_experts> response) {
             if (response && coordinator)
                 coordinator->onExperts(rank, response->epoch, response->map, std::move(response->experts));
--- a/fleet/fleet_message.cpp
+++ b/fleet/fleet_message.cpp
@@ -100,7 +100,7 @@
             status.epoch, status.step.value(), status.map.value(), status.prepared.value_or(map_version {}).value(), status.prepared.has_value(),
             status.armed.value_or(map_version {}).value(), status.armed.has_value(), status.held.value_or(step_number {}).value(),
             status.held.has_value(), status.isOpen, status.pace, message.running, &counts, &experts, message.address.c_str(), message.zone.value().c_str(),
-            status.armedStep.value_or(step_number {}).value());
+            status.armedStep.value_or(step_number {}).value(), status.isWitness);
         finish(wire::datagram_body::rank_report, body.Union());
     }
 
@@ -122,7 +122,7 @@
         const std::vector<std::uint8_t> changes = encodeDelta(message.delta, message.ranks);
         const auto body = wire::Createdelegated_orderDirect(builder, message.id, message.group.value().c_str(), order.rank.value(), order.epoch,
             static_cast<std::uint8_t>(order.action), order.version.value(), order.step.value(), message.base.has_value(), message.base.value_or(map_version {}).value(),
-            message.sets, message.experts, message.ranks, &changes);
+            message.sets, message.experts, message.ranks, &changes, order.isWitnessed);
         finish(wire::datagram_body::delegated_order, body.Union());
     }
 
@@ -268,6 +268,7 @@
     if (body.has_held())
         status.held = step_number(body.held());
     status.isOpen = body.open();
+    status.isWitness = body.witness();
     status.pace = body.pace();
     readExperts(body, status);
     message.address = text(body.address());
@@ -291,12 +292,13 @@
 
 std::optional<fleet_message> read(const wire::delegated_order& body)
 {
-    if (body.action() > static_cast<std::uint8_t>(map_order::kind::Release))
+    if (body.action() > static_cast<std::uint8_t>(map_order::kind::Seal))
         return std::nullopt;
     delegated_order_message message;
     message.id = body.id();
     message.group = group_id(text(body.group()));
     message.order = { static_cast<map_order::kind>(body.action()), rank_id(body.rank()), body.epoch(), map_version(body.version()), step_number(body.step()), {} };
+    message.order.isWitnessed = body.witnessed();
     if (body.has_base())
         message.base = map_version(body.base());
     message.sets = body.sets();
--- a/fleet/group_coordinator.cpp
+++ b/fleet/group_coordinator.cpp
@@ -116,6 +116,8 @@
         return "hold";
     case map_order::kind::Release:
         return "release";
+    case map_order::kind::Seal:
+        return "seal";
     }
     return "";
 }
--- a/fleet/map_order_dispatcher.cpp
+++ b/fleet/map_order_dispatcher.cpp
@@ -65,6 +65,8 @@
 bool map_order_dispatcher::isDelegable(const map_order& order, time_point now) const
 {
     // Holds and releases are single orders, for which the way through an agent would only take longer.
+    if (order.isWitnessed)
+        return true;
     if (order.rank == m_local || order.action == map_order::kind::Hold || order.action == map_order::kind::Release)
         return false;
     if (order.placement && order.placement->sets.empty())
@@ -169,7 +171,8 @@
         return;
     const map_order order = found->second.order;
     m_pending.erase(found);
-    m_missed.erase(order.rank);
+    if (!order.isWitnessed)
+        m_missed.erase(order.rank);
     std::erase_if(m_direct, [&](const map_order& other) { return isSameOrder(other, order); });
     if (message.result == delegated_result_message::outcome::BaseUnknown)
         sendToAgent(order, false, now);
@@ -181,7 +184,7 @@
 {
     for (auto& [id, pending] : m_pending) {
         const bool isDue = now - pending.sentAt >= directCopyDelay && (pending.order.placement ? isAgentSilent(pending.order.rank, now) && canSendWholeMap() : true);
-        if (pending.isSentDirectly || !isDue)
+        if (pending.isSentDirectly || pending.order.isWitnessed || !isDue)
             continue;
         pending.isSentDirectly = true;
         sendDirectly(pending.order);
@@ -194,6 +197,10 @@
         return true;
     });
     for (const map_order& order : unanswered) {
+        if (order.isWitnessed) {
+            m_hooks.onResult(order, map_order_result::Unanswered);
+            continue;
+        }
         missed_orders& missed = m_missed[order.rank];
         ++missed.count;
         missed.lastAt = now;
--- a/fleet/map_order_executor.cpp
+++ b/fleet/map_order_executor.cpp
@@ -48,4 +48,10 @@
     m_placements[order.version] = order.placement;
 }
 
+std::shared_ptr<const expert_placement> map_order_executor::placementOf(std::uint64_t epoch, map_version version) const
+{
+    const auto known = m_placements.find(version);
+    return epoch == m_epoch && known != m_placements.end() ? known->second : nullptr;
+}
+
 }
--- a/fleet/map_order_executor.h
+++ b/fleet/map_order_executor.h
@@ -21,6 +21,9 @@
     // Records that the runner has taken a prepare order. Maps other than this and `inUse` are forgotten.
     void onPrepared(const map_order&, map_version inUse);
 
+    // The map of this version, or nullptr if it is not known here.
+    std::shared_ptr<const expert_placement> placementOf(std::uint64_t epoch, map_version) const;
+
 private:
     std::uint64_t m_epoch = 0;
     std::map<map_version, std::shared_ptr<const expert_placement>> m_placements;
--- a/tests/fleet/fake_rank_group.h
+++ b/tests/fleet/fake_rank_group.h
@@ -58,6 +58,8 @@
             if (target.held == order.step.value())
                 target.held.reset();
             break;
+        case map_order::kind::Seal:
+            break;
         }
         return isAccepted ? map_order_result::Accepted : map_order_result::Refused;
     }
@@ -99,6 +101,7 @@
             result.armedStep = step_number(source.armed->step);
         if (source.held)
             result.held = step_number(*source.held);
+        result.isWitness = true;
         result.expertsBySet = { { static_cast<expert_number>(number.value()) } };
         return result;
     }
--- a/tests/fleet/group_coordinator_test.cpp
+++ b/tests/fleet/group_coordinator_test.cpp
@@ -40,6 +40,7 @@
             message.groupSize = 4;
             message.status.rank = rank_id(rank);
             message.status.epoch = 1;
+            message.status.isWitness = true;
             const auto expert = static_cast<expert_number>(firstExpert + 2 * rank);
             message.status.expertsBySet = { { expert, static_cast<expert_number>(expert + 1) }, { expert, static_cast<expert_number>(expert + 1) } };
             coordinator.onReport(message, now);
