--- a/expert_map/map_switch.cpp
+++ b/expert_map/map_switch.cpp
@@ -10,37 +10,45 @@
 // No switch starts while the report of any rank is older than this.
 constexpr duration maxReportAge = std::chrono::milliseconds(600);
 
-// Distance from the newest reported pass to the pass to hold. A pass that waits for its release costs a few ms; a hold
-// order that arrives too late costs only another attempt.
-constexpr std::uint64_t passesAhead = 1;
+// Limit of the distance from the newest reported pass to the pass to hold. Until then, passes run with the old map.
+constexpr std::uint64_t maxPassesAhead = 4;
 constexpr std::uint32_t maxHoldAttempts = 4;
 
 // Each coordinator uses only version and pass numbers with the remainder of its rank by this modulus, so that coordinators
 // of neighboring ranks do not take each other's versions and holds for their own.
 constexpr std::uint64_t coordinatorModulus = 3;
 
-// Time for rank 0 to confirm its hold, and for all ranks to confirm that they are armed. Unanswered orders are resent in
-// the meantime; orders are idempotent because each names its map version or pass.
+// Time for rank 0 to confirm its hold. Unanswered orders are resent in the meantime; orders are idempotent because each names its
+// map version or pass.
 constexpr duration holdTimeout = std::chrono::milliseconds(300);
-constexpr duration armTimeout = std::chrono::milliseconds(500);
 constexpr duration resendInterval = std::chrono::milliseconds(120);
 
+// Time after which arming is given up. Covers several rounds of copies of orders.
+constexpr duration armTimeout = std::chrono::milliseconds(600);
+
+// A rank that has neither reported nor answered a poll for this long cannot be reached.
+constexpr duration unreachableTimeout = std::chrono::milliseconds(250);
+
+// Time for a report that shows why a rank has refused to be armed.
+constexpr duration refusalReportTimeout = std::chrono::milliseconds(200);
+
 // advance() is called ten times per second; a longer gap means that the process was paused.
 constexpr duration maxCallGap = std::chrono::milliseconds(400);
 
 // Time that ranks may take, beyond the copy time, to report a map as prepared.
 constexpr duration prepareSlack = std::chrono::milliseconds(1500);
 
-// Exceeds the time that another coordinator takes from its hold to the release or to the rollback of its switch.
-constexpr duration foreignHoldTimeout = std::chrono::milliseconds(1300);
+// Age of a hold at which any coordinator completes or rolls back the switch. Exceeds the time from a hold to its release when no
+// order is lost; two coordinators that act at once only send needless orders.
+constexpr duration foreignHoldTimeout = std::chrono::milliseconds(120);
+
+// Time after which ranks that stay armed without a hold are reset, and a switch of a coordinator of an earlier build is ended.
+constexpr duration abandonedSwitchTimeout = std::chrono::milliseconds(1300);
 
 constexpr duration shortRetryDelay = std::chrono::milliseconds(500);
 // Used after an order got no answer, since further orders are likely to get none for a few seconds, and after a rollback.
 constexpr duration longRetryDelay = std::chrono::seconds(3);
 
-// Rank that holds passes.
-constexpr rank_id holdingRank { 0 };
-
 }
 
 map_switch::map_switch(rank_id coordinator, std::uint32_t groupSize)
@@ -61,10 +69,21 @@
         m_foreignSince.reset();
         m_orders.clear();
         m_requestedHolds.clear();
+        m_lastStep = {};
+        m_acceptedVersions.clear();
+        m_sealedSteps.clear();
+        m_unsealableSteps.clear();
+        m_disarmedVersions.clear();
     }
+    m_disarmedVersions.erase(status.rank);
+    if (status.rank == rank_id(0))
+        observePassTime(status);
     rank_status& known = m_ranks[status.rank];
     auto experts = known.map == status.map ? std::move(known.expertsBySet) : decltype(known.expertsBySet) {};
+    const bool wasWitness = known.isWitness;
     known = status;
+    // Unknown in a report polled from the runner.
+    known.isWitness = known.isWitness || wasWitness;
     // A report polled directly from another rank's runner does not list the experts.
     if (known.expertsBySet.empty())
         known.expertsBySet = std::move(experts);
@@ -126,10 +145,21 @@
     return highest;
 }
 
+std::optional<map_switch::hold> map_switch::currentHold() const
+{
+    // Earlier builds hold passes at rank 0.
+    for (const rank_id rank : { holdingRank(), rank_id(0) }) {
+        const auto known = m_ranks.find(rank);
+        if (known != m_ranks.end() && known->second.held)
+            return hold { rank, *known->second.held };
+    }
+    return std::nullopt;
+}
+
 std::optional<step_number> map_switch::heldStep() const
 {
-    const auto found = m_ranks.find(holdingRank);
-    return found == m_ranks.end() ? std::nullopt : found->second.held;
+    const auto hold = currentHold();
+    return hold ? std::optional(hold->step) : std::nullopt;
 }
 
 bool map_switch::areAllPrepared(map_version version) const
@@ -137,9 +167,36 @@
     return std::all_of(m_ranks.begin(), m_ranks.end(), [&](const auto& entry) { return entry.second.prepared == version; });
 }
 
+bool map_switch::isVoid(const rank_status& status, map_version version) const
+{
+    const auto accepted = m_acceptedVersions.find(status.rank);
+    if (accepted != m_acceptedVersions.end() && accepted->second > version)
+        return true;
+    return status.map > version || (status.prepared > version && status.armed != version);
+}
+
+std::optional<map_version> map_switch::completableVersion() const
+{
+    const auto held = heldStep();
+    const auto armed = std::find_if(m_ranks.begin(), m_ranks.end(), [&](const auto& entry) { return entry.second.armed && entry.second.armedStep == held; });
+    if (!held || armed == m_ranks.end())
+        return std::nullopt;
+    const map_version version = *armed->second.armed;
+    const bool isPossible = std::all_of(m_ranks.begin(), m_ranks.end(), [&](const auto& entry) {
+        const rank_status& status = entry.second;
+        return !isVoid(status, version) && (status.armed ? status.armed == version : status.prepared == version);
+    });
+    return isPossible ? std::optional(version) : std::nullopt;
+}
+
+bool map_switch::hasPassBegun() const
+{
+    return highestStep() >= m_step.value();
+}
+
 bool map_switch::areAllArmed() const
 {
-    if (m_ranks.empty() || !m_ranks.begin()->second.armed)
+    if (m_ranks.size() != m_groupSize || !m_ranks.begin()->second.armed)
         return false;
     const auto& first = m_ranks.begin()->second.armed;
     return std::all_of(m_ranks.begin(), m_ranks.end(), [&](const auto& entry) { return entry.second.armed == first; });
@@ -180,7 +237,7 @@
 void map_switch::returnToIdle(duration retryDelay, time_point now)
 {
     enterStage(stage::Idle, now);
-    m_nextSwitchAt = now + retryDelay;
+    m_nextSwitchAt = std::max(m_nextSwitchAt, now + retryDelay);
 }
 
 void map_switch::queueOrder(map_order::kind action, rank_id rank, map_version version, step_number step, std::shared_ptr<const expert_placement> placement)
@@ -190,9 +247,17 @@
         order.basePlacement = m_basePlacement;
         order.base = m_base;
     }
+    order.isWitnessed = action == map_order::kind::Seal || (action == map_order::kind::Arm && rank == witnessedRank());
     m_orders.push_back(std::move(order));
 }
 
+std::optional<rank_id> map_switch::witnessedRank() const
+{
+    if (m_groupSize <= coordinatorModulus || m_holder != holdingRank())
+        return std::nullopt;
+    return rank_id(static_cast<std::uint32_t>(m_step.value() % coordinatorModulus));
+}
+
 std::vector<map_order> map_switch::takeOrders()
 {
     return std::exchange(m_orders, {});
@@ -207,7 +272,9 @@
             return false;
     }
     const auto base = placementInUse();
-    if (!base)
+    // An agent of an earlier build does not give orders to another rank.
+    const bool hasWitness = m_ranks.rbegin()->second.isWitness;
+    if (!base || !hasWitness)
         return false;
     m_version = nextVersion();
     m_placement = std::make_shared<expert_placement>(placement);
@@ -223,34 +290,93 @@
     return true;
 }
 
+void map_switch::observePassTime(const rank_status& status)
+{
+    // Passes of an idle or held group tell nothing of their time.
+    constexpr duration maxPassTime = std::chrono::milliseconds(500);
+    const std::uint64_t passes = status.step > m_lastStep ? status.step.value() - m_lastStep.value() : 0;
+    const duration elapsed = status.receivedAt - m_lastStepAt;
+    if (passes == 0)
+        return;
+    const duration passTime = elapsed / static_cast<std::int64_t>(passes);
+    if (passTime <= maxPassTime && !status.held)
+        m_passTime = m_passTime == duration {} ? passTime : (m_passTime + passTime) / 2;
+    m_lastStep = status.step;
+    m_lastStepAt = status.receivedAt;
+}
+
+std::uint64_t map_switch::passesAhead() const
+{
+    if (m_passTime <= duration {})
+        return 1;
+    // So far ahead that the ranks can confirm before the group reaches the pass.
+    const auto passes = static_cast<std::uint64_t>(m_confirmTime / m_passTime) + 1;
+    return std::min(passes, maxPassesAhead);
+}
+
 void map_switch::startHolding(time_point now)
 {
-    std::uint64_t step = std::max(highestStep(), m_step.value()) + passesAhead;
-    while (step % coordinatorModulus != m_coordinator.value() % coordinatorModulus)
+    if (m_stage != stage::Holding)
+        m_holdOrderedAt = now;
+    std::uint64_t step = std::max(highestStep(), m_step.value()) + passesAhead();
+    while (step % coordinatorModulus != m_coordinator.value() % coordinatorModulus || m_requestedHolds.contains(step_number(step)))
         ++step;
     m_step = step_number(step);
     m_requestedHolds.insert(m_step);
     enterStage(stage::Holding, now);
-    queueOrder(map_order::kind::Hold, holdingRank, {}, m_step);
+    m_holder = holdingRank();
+    queueOrder(map_order::kind::Hold, m_holder, {}, m_step);
 }
 
 void map_switch::startArming(time_point now)
 {
     m_armedRanks.clear();
+    m_armRefusedAt.clear();
+    m_isWitnessedArmSent = false;
     enterStage(stage::Arming, now);
-    for (const auto& [rank, status] : m_ranks)
-        queueOrder(map_order::kind::Arm, rank, m_version, m_step);
+    for (const auto& [rank, status] : m_ranks) {
+        if (status.armed != m_version && rank != witnessedRank())
+            queueOrder(map_order::kind::Arm, rank, m_version, m_step);
+    }
+    advanceArming(now);
+}
+
+void map_switch::armWitnessedRank()
+{
+    const auto rank = witnessedRank();
+    if (!rank || m_isWitnessedArmSent || m_armedRanks.contains(*rank) || m_armedRanks.size() + 1 < m_groupSize)
+        return;
+    m_isWitnessedArmSent = true;
+    queueOrder(map_order::kind::Arm, *rank, m_version, m_step);
+}
+
+void map_switch::adoptSwitch(map_version version, time_point now)
+{
+    m_version = version;
+    m_placement.reset();
+    startArming(now);
 }
 
 void map_switch::startRelease(time_point now)
 {
+    if (m_stage == stage::Arming && m_requestedHolds.contains(m_step))
+        m_confirmTime = (m_confirmTime + (now - m_holdOrderedAt)) / 2;
     enterStage(stage::Releasing, now);
-    m_lastSentAt[holdingRank] = now;
-    queueOrder(map_order::kind::Release, holdingRank, {}, m_step);
+    m_lastSentAt[m_holder] = now;
+    queueOrder(map_order::kind::Release, m_holder, {}, m_step);
 }
 
 void map_switch::startRollback(time_point now)
 {
+    const auto held = heldStep();
+    if (m_stage == stage::Arming && held && held != m_step) {
+        // The pass of this switch has been released, and another switch has begun.
+        returnToIdle(shortRetryDelay, now);
+        return;
+    }
+    m_rollbackStep = held ? held : m_stage == stage::Arming ? std::optional(m_step)
+                                                            : std::nullopt;
+    // The rank that holds the pass reports the version that ranks may be armed for, so this one is higher.
     m_rollbackVersion = nextVersion();
     m_placement.reset();
     enterStage(stage::RollingBack, now);
@@ -275,7 +401,6 @@
     if (!wasPaused)
         return;
     // Another coordinator may have acted in the meantime, so the present state is treated as a foreign switch.
-    m_requestedHolds.clear();
     m_orders.clear();
     m_foreignSince.reset();
     returnToIdle(shortRetryDelay, now);
@@ -286,14 +411,26 @@
     resetIfPaused(now);
     if (sent.epoch != m_epoch)
         return;
+    const bool isAccepted = result == map_order_result::Accepted;
+    if (isAccepted && sent.action == map_order::kind::Prepare)
+        m_acceptedVersions[sent.rank] = std::max(m_acceptedVersions[sent.rank], sent.version);
+    if (isAccepted && sent.action == map_order::kind::Disarm)
+        m_disarmedVersions[sent.rank] = sent.version;
+    if (sent.action == map_order::kind::Seal) {
+        onSealResult(sent, result, now);
+        return;
+    }
     if (m_stage == stage::Preparing && sent.action == map_order::kind::Prepare && sent.version == m_version)
         onPrepareResult(sent, result, now);
     else if (m_stage == stage::Holding && sent.action == map_order::kind::Hold && sent.step == m_step)
         onHoldResult(sent, result, now);
     else if (m_stage == stage::Arming && sent.action == map_order::kind::Arm && sent.version == m_version)
         onArmResult(sent, result, now);
-    else if (m_stage == stage::RollingBack)
+    else if (m_stage == stage::RollingBack) {
         m_lastAnswerAt[sent.rank] = now;
+        if (isAccepted)
+            advanceRollback(now);
+    }
 }
 
 void map_switch::onPrepareResult(const map_order& sent, map_order_result result, time_point now)
@@ -311,14 +448,10 @@
 
 void map_switch::onHoldResult(const map_order& sent, map_order_result result, time_point now)
 {
-    // A coordinator that was paused may have been replaced in the meantime.
     const bool isTimely = now - m_stageSince <= holdTimeout;
     switch (result) {
     case map_order_result::Accepted:
-        if (isTimely)
-            startArming(now);
-        else
-            returnToIdle(longRetryDelay, now);
+        startArming(now);
         return;
     case map_order_result::Refused:
         if (isTimely && ++m_holdAttempts < maxHoldAttempts)
@@ -337,18 +470,19 @@
 
 void map_switch::onArmResult(const map_order& sent, map_order_result result, time_point now)
 {
-    const bool isTimely = now - m_stageSince <= armTimeout;
-    if (result == map_order_result::Unanswered && isTimely) {
-        m_orders.push_back(sent);
-        return;
-    }
-    if (result != map_order_result::Accepted || !isTimely) {
-        startRollback(now);
-        return;
+    switch (result) {
+    case map_order_result::Accepted:
+        m_armedRanks.insert(sent.rank);
+        break;
+    case map_order_result::Refused:
+        m_armRefusedAt.try_emplace(sent.rank, now);
+        break;
+    case map_order_result::Unanswered:
+        if (m_ranks[sent.rank].armed != m_version)
+            m_orders.push_back(sent);
+        break;
     }
-    m_armedRanks.insert(sent.rank);
-    if (m_armedRanks.size() == m_groupSize)
-        startRelease(now);
+    advanceArming(now);
 }
 
 void map_switch::advance(time_point now, bool isInCharge)
@@ -378,7 +512,10 @@
 
 void map_switch::advancePreparing(time_point now)
 {
-    if (areAllPrepared(m_version) && isComplete(now))
+    if (heldStep())
+        // Another coordinator's switch comes first, or a late hold of this one.
+        returnToIdle(duration {}, now);
+    else if (areAllPrepared(m_version) && isComplete(now))
         startHolding(now);
     else if (now - m_stageSince > m_copyTime + prepareSlack)
         returnToIdle(shortRetryDelay, now);
@@ -386,42 +523,110 @@
 
 void map_switch::advanceHolding(time_point now)
 {
-    if (now - m_stageSince > holdTimeout * 2)
+    if (heldStep() == m_step)
+        startArming(now);
+    else if (now - m_stageSince > holdTimeout * 2)
         returnToIdle(longRetryDelay, now);
 }
 
 void map_switch::advanceArming(time_point now)
 {
-    if (now - m_stageSince > armTimeout)
+    if (hasPassBegun()) {
+        // Another coordinator has completed the switch or rolled it back.
+        returnToIdle(shortRetryDelay, now);
+        return;
+    }
+    for (const auto& [rank, status] : m_ranks) {
+        if (status.armed == m_version)
+            m_armedRanks.insert(rank);
+    }
+    if (m_armedRanks.size() == m_groupSize) {
+        startRelease(now);
+        return;
+    }
+    if (now - m_stageSince > armTimeout) {
         startRollback(now);
+        return;
+    }
+    armWitnessedRank();
+    for (const auto& [rank, refusedAt] : m_armRefusedAt) {
+        const bool isReasonKnown = m_ranks[rank].receivedAt > refusedAt || now - refusedAt > refusalReportTimeout;
+        if (!m_armedRanks.contains(rank) && isReasonKnown) {
+            startRollback(now);
+            return;
+        }
+    }
 }
 
 void map_switch::advanceReleasing(time_point now)
 {
-    const auto known = m_ranks.find(holdingRank);
-    const bool isReleased = known != m_ranks.end() && known->second.held != m_step && known->second.receivedAt > m_lastSentAt[holdingRank];
-    if (isReleased) {
+    const auto known = m_ranks.find(m_holder);
+    const bool isReleased = known != m_ranks.end() && known->second.held != m_step && known->second.receivedAt > m_lastSentAt[m_holder];
+    if (isReleased || hasPassBegun()) {
         returnToIdle(duration {}, now);
         return;
     }
-    if (now - m_lastSentAt[holdingRank] >= resendInterval) {
-        m_lastSentAt[holdingRank] = now;
-        queueOrder(map_order::kind::Release, holdingRank, {}, m_step);
+    if (now - m_lastSentAt[m_holder] >= resendInterval) {
+        m_lastSentAt[m_holder] = now;
+        queueOrder(map_order::kind::Release, m_holder, {}, m_step);
     }
 }
 
+bool map_switch::isUnreachable(rank_id rank, time_point now) const
+{
+    const auto known = m_ranks.find(rank);
+    return known == m_ranks.end() || now - known->second.receivedAt > unreachableTimeout;
+}
+
+bool map_switch::sealWitnessedRank(time_point now)
+{
+    const auto rank = witnessedRank();
+    if (!rank || !isUnreachable(*rank, now) || m_sealedSteps.contains(m_step) || m_unsealableSteps.contains(m_step))
+        return true;
+    if (now - m_sealSentAt >= resendInterval) {
+        m_sealSentAt = now;
+        queueOrder(map_order::kind::Seal, *rank, {}, m_step);
+    }
+    return false;
+}
+
+void map_switch::onSealResult(const map_order& sent, map_order_result result, time_point now)
+{
+    if (result == map_order_result::Unanswered)
+        return;
+    const bool isSealed = result == map_order_result::Accepted;
+    (isSealed ? m_sealedSteps : m_unsealableSteps).insert(sent.step);
+    if (m_stage != stage::RollingBack || heldStep() != sent.step)
+        return;
+    if (isSealed) {
+        advanceRollback(now);
+        return;
+    }
+    // The witnessed rank has been sent its arm order, so all others were armed.
+    if (const auto version = completableVersion())
+        adoptSwitch(*version, now);
+}
+
 void map_switch::rollBackRank(const rank_status& status, time_point now)
 {
+    const auto disarmed = m_disarmedVersions.find(status.rank);
+    const bool isDisarmed = disarmed != m_disarmedVersions.end() && status.armed == disarmed->second;
+    const bool isArmed = status.armed && !isDisarmed;
+    // A disarmed rank is made void at once.
     const auto answered = m_lastAnswerAt.find(status.rank);
-    const bool isAnswerKnown = answered != m_lastAnswerAt.end() && status.receivedAt > answered->second;
+    const bool isAnswerKnown = answered != m_lastAnswerAt.end() && (status.receivedAt > answered->second || isDisarmed);
     const auto last = m_lastSentAt.find(status.rank);
     if (last != m_lastSentAt.end() && now - last->second < resendInterval && !isAnswerKnown)
         return;
-    if (!status.armed && !updateRollbackPlacement())
+    const bool isSealed = witnessedRank() && m_sealedSteps.contains(m_step);
+    const bool isDisarmable = isArmed && (isSealed || std::any_of(m_ranks.begin(), m_ranks.end(), [&](const auto& entry) { return isVoid(entry.second, *status.armed); }));
+    if (isArmed && !isDisarmable)
+        return;
+    if (!isArmed && !updateRollbackPlacement())
         return;
     m_lastAnswerAt.erase(status.rank);
     m_lastSentAt[status.rank] = now;
-    if (status.armed)
+    if (isArmed)
         queueOrder(map_order::kind::Disarm, status.rank, *status.armed, {});
     else
         queueOrder(map_order::kind::Prepare, status.rank, m_rollbackVersion, {}, m_placement);
@@ -429,7 +634,6 @@
 
 void map_switch::advanceRollback(time_point now)
 {
-    bool isRolledBack = true;
     const bool isSuperseded = std::any_of(m_ranks.begin(), m_ranks.end(), [&](const auto& entry) {
         return entry.second.armed > m_rollbackVersion;
     });
@@ -438,19 +642,35 @@
         returnToIdle(longRetryDelay, now);
         return;
     }
+    const auto held = currentHold();
+    if (held && held->step != m_rollbackStep) {
+        // Ranks may have been armed for this other pass with a version that is higher than that of the rollback.
+        returnToIdle(shortRetryDelay, now);
+        return;
+    }
+    if (held) {
+        m_step = held->step;
+        m_holder = held->rank;
+    }
+    if (held && areAllArmed()) {
+        startRelease(now);
+        return;
+    }
+    if (held && !sealWitnessedRank(now))
+        return;
+    bool isRolledBack = true;
     for (const auto& [rank, status] : m_ranks) {
-        // Reports from before this stage do not show the effect of late orders.
-        const bool isFresh = status.receivedAt > m_stageSince;
-        if (isFresh && !status.armed && status.prepared >= m_rollbackVersion)
+        const auto accepted = m_acceptedVersions.find(rank);
+        const bool hasAccepted = accepted != m_acceptedVersions.end() && accepted->second >= m_rollbackVersion;
+        const bool isSealed = held && rank == witnessedRank() && m_sealedSteps.contains(m_step);
+        if (isSealed || hasAccepted || (!status.armed && status.prepared >= m_rollbackVersion))
             continue;
         isRolledBack = false;
-        if (isFresh)
-            rollBackRank(status, now);
+        rollBackRank(status, now);
     }
     if (!isRolledBack)
         return;
-    if (const auto held = heldStep()) {
-        m_step = *held;
+    if (held) {
         startRelease(now);
         m_nextSwitchAt = now + longRetryDelay;
     } else {
@@ -460,29 +680,40 @@
 
 void map_switch::watchForeignHold(time_point now, bool isInCharge)
 {
-    const auto held = heldStep();
-    // The hold order was carried out after its switch had ended. At that point all ranks or none were armed, so the pass can
-    // be released.
-    if (held && m_requestedHolds.contains(*held) && isInCharge) {
-        m_step = *held;
-        startRelease(now);
-        m_nextSwitchAt = now + longRetryDelay;
-        return;
-    }
+    const auto held = currentHold();
     const bool isAnyArmed = std::any_of(m_ranks.begin(), m_ranks.end(), [](const auto& entry) { return entry.second.armed.has_value(); });
-    if (!isComplete(now) || (!held && (!isAnyArmed || areAllArmed()))) {
+    const bool isUndecided = held || (isAnyArmed && !areAllArmed());
+    if (m_ranks.size() != m_groupSize || !isUndecided) {
         m_foreignSince.reset();
         return;
     }
-    if (!m_foreignSince)
+    if (!m_foreignSince || m_foreignStep != heldStep())
         m_foreignSince = now;
-    if (now - *m_foreignSince < foreignHoldTimeout || !isInCharge)
-        return;
-    m_foreignSince.reset();
-    if (held)
-        m_step = *held;
-    if (held && areAllArmed())
+    m_foreignStep = heldStep();
+    // Coordinators of earlier builds decide alone for a while.
+    const bool isDecidedByRanks = held && held->rank == holdingRank();
+    // A hold of this coordinator that was carried out after its switch had ended.
+    const bool isOwnHold = held && m_requestedHolds.contains(held->step);
+    const duration age = now - *m_foreignSince;
+    if (held && (isOwnHold || (isDecidedByRanks && age >= foreignHoldTimeout) || (isInCharge && age >= abandonedSwitchTimeout))) {
+        m_foreignSince.reset();
+        m_step = held->step;
+        m_holder = held->rank;
+        resolveHold(now);
+    } else if (!held && isInCharge && age >= abandonedSwitchTimeout) {
+        m_foreignSince.reset();
+        startRollback(now);
+    }
+}
+
+void map_switch::resolveHold(time_point now)
+{
+    const auto witnessed = witnessedRank();
+    const auto version = completableVersion();
+    if (areAllArmed())
         startRelease(now);
+    else if (version && !(witnessed && isUnreachable(*witnessed, now)))
+        adoptSwitch(*version, now);
     else
         startRollback(now);
 }
--- a/expert_map/map_switch.h
+++ b/expert_map/map_switch.h
@@ -19,21 +19,36 @@
 // Switches a rank group to a new expert map such that no forward pass begins while two ranks use different maps.
 //
 // 1. All ranks prepare the map, which copies the experts they lack.
-// 2. Rank 0 is ordered to hold a pass shortly ahead of the current one.
+// 2. The last rank is ordered to hold a pass shortly ahead of the current one. Coordinators run beside the first ranks, so that
+//    a hold can be seen and released when the machine of its coordinator has failed.
 // 3. While the pass is held, all ranks are armed to switch at that pass.
 // 4. Once every rank has confirmed, the pass is released, usually before the group reaches it.
 //
-// If a rank does not confirm, the switch is rolled back: each rank is disarmed and prepares a still higher version, after
-// which it refuses a late arm order; then the pass is released. A coordinator in charge that finds another coordinator's hold
-// unchanged for over a second releases the pass if all ranks are armed, and otherwise rolls that switch back. Pure state
-// machine: takeOrders() returns the orders to send.
+// The ranks decide the outcome by their own state, so that any number of coordinators may act at once, and late orders of one
+// that was paused or killed change nothing:
+//
+// - The switch is committed once all ranks are armed. No rank is disarmed unless another one has become void.
+// - It is rolled back once a rank is void: unarmed, with a higher version prepared, so that it refuses to be armed. Only an
+//   unarmed rank takes a prepare order. Then the armed ranks are disarmed and all ranks are made void.
+// - The pass is released when all ranks are armed, or when all are void.
+//
+// One rank, which is that of the coordinator among the first three, gets its arm order only through the agent beside the last
+// rank, its witness, and after all others, so that the time in which nobody knows its state is short. If the machine of the coordinator fails such that the rank beside it cannot be reached either, the
+// witness knows whether that rank was armed; if not, it seals that, and the rank counts as void for the held pass.
+//
+// Both states of a rank are final for the version, so an old report that shows one is still true. A version is armed only for one
+// pass, and no coordinator process holds the same pass twice.
+//
+// Arm orders without an answer are sent again until a rank refuses: rolling back takes more orders than completing. A coordinator,
+// also a standby one, that finds another's hold unchanged for foreignHoldTimeout completes that switch if some rank is armed
+// and no rank is void, and otherwise rolls it back. Pure state machine: takeOrders() returns the orders to send.
 class map_switch {
 public:
     enum class stage {
         Idle,
         // The ranks copy experts.
         Preparing,
-        // Rank 0 has been ordered to hold a pass.
+        // The last rank has been ordered to hold a pass.
         Holding,
         // The pass is held and the ranks are being armed.
         Arming,
@@ -62,10 +77,16 @@
 
     void onOrderResult(const map_order&, map_order_result, time_point now);
 
-    // Handles timeouts and resends. Call ten times per second. A standby coordinator completes its own switch and otherwise
-    // only observes, so that it knows the age of a hold when it takes over.
+    // Handles timeouts and resends. Call at least ten times per second. A standby coordinator also completes or rolls back a
+    // switch whose hold it finds unchanged for too long.
     void advance(time_point now, bool isInCharge);
 
+    // Whether a rank holds a pass.
+    bool isPassHeld() const { return currentHold().has_value(); }
+
+    // The rank that holds the passes of this coordinator's switches.
+    rank_id holdingRank() const { return rank_id(m_groupSize - 1); }
+
     // Returns the queued orders in the sequence in which to send them, and clears the queue.
     std::vector<map_order> takeOrders();
 
@@ -80,12 +101,18 @@
 
 private:
     void resetIfPaused(time_point now);
+    void observePassTime(const rank_status&);
+    std::uint64_t passesAhead() const;
     void enterStage(stage, time_point now);
     void returnToIdle(duration retryDelay, time_point now);
     void queueOrder(map_order::kind, rank_id, map_version, step_number, std::shared_ptr<const expert_placement> placement = nullptr);
     void startHolding(time_point now);
     void startArming(time_point now);
+    // Arms the witnessed rank once all others are armed.
+    void armWitnessedRank();
+    void adoptSwitch(map_version, time_point now);
     void startRelease(time_point now);
+    bool isUnreachable(rank_id, time_point now) const;
     void startRollback(time_point now);
     void onPrepareResult(const map_order&, map_order_result, time_point now);
     void onHoldResult(const map_order&, map_order_result, time_point now);
@@ -95,14 +122,33 @@
     void advanceArming(time_point now);
     void advanceReleasing(time_point now);
     void advanceRollback(time_point now);
+    // The rank that is armed through the witness for the held pass. Nothing if the group is too small, or if the pass is held for an
+    // earlier build.
+    std::optional<rank_id> witnessedRank() const;
+    // Deals with a witnessed rank that cannot be reached. Returns whether the rollback can go on.
+    bool sealWitnessedRank(time_point now);
+    void onSealResult(const map_order&, map_order_result, time_point now);
     void rollBackRank(const rank_status&, time_point now);
     void watchForeignHold(time_point now, bool isInCharge);
+    void resolveHold(time_point now);
     bool areAllPrepared(map_version) const;
     // Whether all ranks are armed for the same map.
     bool areAllArmed() const;
+    // Whether the rank can no longer be armed for this version, nor for a lower one.
+    bool isVoid(const rank_status&, map_version) const;
+    // The version whose switch at the held pass can be completed: a rank is armed for it, and all others are or can be.
+    std::optional<map_version> completableVersion() const;
+    // Whether the pass of this switch has begun, by any report.
+    bool hasPassBegun() const;
     std::uint64_t highestVersion() const;
     map_version nextVersion();
     std::uint64_t highestStep() const;
+    struct hold {
+        rank_id rank;
+        step_number step;
+    };
+
+    std::optional<hold> currentHold() const;
     std::optional<step_number> heldStep() const;
     // The map in use, or nullptr while the experts of a rank are not known or ranks report different maps.
     std::shared_ptr<const expert_placement> placementInUse() const;
@@ -122,7 +168,11 @@
     map_version m_version;
     // Version that the ranks prepare in a rollback, so that they refuse late orders for m_version.
     map_version m_rollbackVersion;
+    // The held pass that the rollback is for.
+    std::optional<step_number> m_rollbackStep;
     step_number m_step;
+    // Rank that holds the pass of this switch.
+    rank_id m_holder;
     std::shared_ptr<const expert_placement> m_placement;
     // The map in use when m_placement was chosen, and its version.
     std::shared_ptr<const expert_placement> m_basePlacement;
@@ -130,6 +180,17 @@
     duration m_copyTime {};
     std::uint32_t m_holdAttempts = 0;
     std::set<rank_id> m_armedRanks;
+    bool m_isWitnessedArmSent = false;
+    // When a rank refused to be armed. It may have done so because the pass had begun.
+    std::map<rank_id, time_point> m_armRefusedAt;
+    // The highest version that each rank has accepted to prepare for this coordinator.
+    std::map<rank_id, map_version> m_acceptedVersions;
+    // Passes for which the witness has confirmed that the witnessed rank is not armed and will not be, or that it may be.
+    std::set<step_number> m_sealedSteps;
+    std::set<step_number> m_unsealableSteps;
+    time_point m_sealSentAt;
+    // The version that each rank has accepted to be disarmed for, until the next report after that.
+    std::map<rank_id, map_version> m_disarmedVersions;
     // Whether a prepare order of this switch got no answer and was sent again.
     bool m_hasResentPrepare = false;
     // When the last order of this stage was sent to each rank.
@@ -139,8 +200,19 @@
     std::vector<map_order> m_orders;
     // Since when a hold or an armed rank has been reported that belongs to no switch of this coordinator.
     std::optional<time_point> m_foreignSince;
+    // The pass that was held then.
+    std::optional<step_number> m_foreignStep;
     std::uint64_t m_highestUsedVersion = 0;
-    // Passes that this coordinator has ordered rank 0 to hold.
+    // Smoothed time from a hold order to the release.
+    duration m_confirmTime {};
+    time_point m_holdOrderedAt;
+    // Smoothed time of a pass. 0 while it is not known.
+    duration m_passTime {};
+    // The last pass that began, and when rank 0 first reported it.
+    step_number m_lastStep;
+    time_point m_lastStepAt;
+    // Passes that this coordinator has ordered to be held in this epoch. None of them is held a second time: a late
+    // release of the first hold would end the second one.
     std::set<step_number> m_requestedHolds;
 };
 
--- a/fleet/group_coordinator.cpp
+++ b/fleet/group_coordinator.cpp
@@ -19,6 +19,10 @@
 // A rank without a report for this long is silent. Reports arrive ten times a second.
 constexpr duration reportTimeout = std::chrono::milliseconds(350);
 
+// The same for the ranks beside coordinators while a pass is held, since the hold may be that of a coordinator that has failed.
+constexpr duration coordinatorReportTimeout = std::chrono::milliseconds(150);
+constexpr std::uint32_t coordinatorRanks = 3;
+
 // Interval of reading the experts of ranks that have not reported them.
 constexpr duration expertReadInterval = std::chrono::milliseconds(300);
 
@@ -71,6 +75,34 @@
     return true;
 }
 
+const char* nameOf(pass_hold::end end)
+{
+    switch (end) {
+    case pass_hold::end::Switched:
+        return "switched";
+    case pass_hold::end::GivenUp:
+        return "given_up";
+    case pass_hold::end::GroupReformed:
+        return "group_reformed";
+    }
+    return "";
+}
+
+const char* nameOf(order_statistics::outcome outcome)
+{
+    switch (outcome) {
+    case order_statistics::outcome::Answered:
+        return "answered";
+    case order_statistics::outcome::Repeated:
+        return "repeated";
+    case order_statistics::outcome::Late:
+        return "late";
+    case order_statistics::outcome::Lost:
+        return "lost";
+    }
+    return "";
+}
+
 const char* nameOf(map_order::kind kind)
 {
     switch (kind) {
@@ -84,6 +116,8 @@
         return "hold";
     case map_order::kind::Release:
         return "release";
+    case map_order::kind::Seal:
+        return "seal";
     }
     return "";
 }
@@ -104,9 +138,29 @@
     rank_status status = message.status;
     status.receivedAt = now;
     m_running[status.rank] = message.running;
+    observe(status);
     m_switch.onReport(status);
 }
 
+void group_coordinator::observe(const rank_status& status)
+{
+    m_orders.onStatus(status);
+    if (status.rank != m_switch.holdingRank())
+        return;
+    const auto ended = m_holds.onStatus(status);
+    if (!ended || !m_isActive)
+        return;
+    const auto milliseconds = [](duration time) { return std::chrono::duration_cast<std::chrono::milliseconds>(time).count(); };
+    m_log.write("pass_hold_ended", { { "group", m_group.value() }, { "step", static_cast<std::int64_t>(ended->step.value()) }, { "ordered_here", ended->isOwn }, { "reason", nameOf(ended->endedBy) }, { "held_ms", static_cast<std::int64_t>(milliseconds(ended->held)) }, { "stood_ms", static_cast<std::int64_t>(milliseconds(ended->stood)) } });
+    m_hooks.onHoldEnded(*ended);
+}
+
+void group_coordinator::reportOrderOutcomes(time_point now)
+{
+    for (const order_statistics::event& each : m_orders.takeEvents(now))
+        m_hooks.onOrderOutcome(nameOf(each.action), nameOf(each.what));
+}
+
 void group_coordinator::onExperts(rank_id rank, std::uint64_t epoch, map_version map, std::vector<std::vector<expert_number>> expertsBySet)
 {
     m_switch.onExperts(rank, epoch, map, std::move(expertsBySet));
@@ -141,6 +195,7 @@
     const auto previousStage = m_switch.currentStage();
     if (result != map_order_result::Accepted)
         m_log.write("map_order_failed", { { "group", m_group.value() }, { "order", nameOf(order.action) }, { "rank", static_cast<std::int64_t>(order.rank.value()) }, { "version", static_cast<std::int64_t>(order.version.value()) }, { "answered", result == map_order_result::Refused } });
+    m_orders.onResult(order, result, now);
     m_switch.onOrderResult(order, result, now);
     logStageChange(previousStage);
     sendOrders();
@@ -149,6 +204,8 @@
 void group_coordinator::advance(time_point now, bool isActive)
 {
     const auto previousStage = m_switch.currentStage();
+    m_isActive = isActive;
+    reportOrderOutcomes(now);
     m_switch.advance(now, isActive);
     if (isActive && m_switch.currentStage() == map_switch::stage::Idle && now - m_plannedAt >= planInterval)
         planNextSwitch(now);
@@ -198,7 +255,9 @@
     std::vector<rank_id> silent;
     for (std::uint32_t rank = 0; rank < m_groupSize; ++rank) {
         const auto known = m_switch.ranks().find(rank_id(rank));
-        if (known == m_switch.ranks().end() || now - known->second.receivedAt > reportTimeout)
+        const bool isUrgent = rank < coordinatorRanks && m_switch.isPassHeld();
+        const duration timeout = isUrgent ? coordinatorReportTimeout : reportTimeout;
+        if (known == m_switch.ranks().end() || now - known->second.receivedAt > timeout)
             silent.emplace_back(rank);
     }
     return silent;
@@ -218,8 +277,12 @@
 
 void group_coordinator::sendOrders()
 {
-    for (const map_order& order : m_switch.takeOrders())
+    for (const map_order& order : m_switch.takeOrders()) {
+        m_orders.onSent(order);
+        if (order.action == map_order::kind::Hold)
+            m_holds.onHoldOrdered(order.step);
         m_hooks.sendOrder(order);
+    }
 }
 
 void group_coordinator::logStageChange(map_switch::stage previousStage)
--- a/tests/fleet/group_coordinator_test.cpp
+++ b/tests/fleet/group_coordinator_test.cpp
@@ -16,7 +16,7 @@
 protected:
     coordinator_input()
         : log("test-agent")
-        , coordinator(group_id("g"), rank_id(0), 4, log, group_coordinator::hooks { [this](const map_order& order) { orders.push_back(order); } })
+        , coordinator(group_id("g"), rank_id(0), 4, log, group_coordinator::hooks { [this](const map_order& order) { orders.push_back(order); }, [](const pass_hold&) {}, [](const std::string&, const std::string&) {} })
     {
         coordinator.setLimits({ 4, 2, milliseconds(10), 6, 1e9 });
     }
@@ -40,6 +40,7 @@
             message.groupSize = 4;
             message.status.rank = rank_id(rank);
             message.status.epoch = 1;
+            message.status.isWitness = true;
             const auto expert = static_cast<expert_number>(firstExpert + 2 * rank);
             message.status.expertsBySet = { { expert, static_cast<expert_number>(expert + 1) }, { expert, static_cast<expert_number>(expert + 1) } };
             coordinator.onReport(message, now);
