Assume between reports what the other followers send

All entries choose from the same reports, so a runner with a low reported load got requests from all of them. An entry now counts each request that it has sent since the report for those of the other followers, by their shares of the demand, which entries already tell one another; a hash orders the followers of each runner, so that they take turns without messages. Reported requests of others end with the service time.

--- a/bench/entry_fleet_simulation.h
+++ b/bench/entry_fleet_simulation.h
@@ -229,6 +229,7 @@
         entry& one = m_entries[e];
         const double arrivals = one.demand.update(m_schedule.now());
         one.directory->setDemandShare(one.demand.share());
+        one.directory->setDemandShares(one.demand.shares(one.address));
         m_schedule.after(transitTime, [this, e, arrivals] {
             for (entry& other : m_entries) {
                 if (&other != &m_entries[e])
--- a/fleet/entry_peers.cpp
+++ b/fleet/entry_peers.cpp
@@ -70,6 +70,7 @@
     updateFollowedRunners();
     m_arrivalsPerSecond = m_entry.demand().update(steadyNow());
     m_entry.runners().setDemandShare(m_entry.demand().share());
+    m_entry.runners().setDemandShares(m_entry.demand().shares(m_settings.ip));
     sendVersions();
     sendToAgents();
     logGroups();
--- a/serving/demand_share.cpp
+++ b/serving/demand_share.cpp
@@ -22,15 +22,32 @@
     return m_arrivalsPerSecond;
 }
 
-double demand_share::share() const
+double demand_share::totalArrivalsPerSecond() const
 {
     double total = m_arrivalsPerSecond;
     for (const auto& [entry, arrivals] : m_peers)
         total += arrivals;
+    return total;
+}
+
+double demand_share::shareOf(double arrivalsPerSecond, double total) const
+{
     const double even = 1 / static_cast<double>(m_peers.size() + 1);
-    if (total <= 0)
-        return even;
-    return evenPart * even + (1 - evenPart) * m_arrivalsPerSecond / total;
+    return total <= 0 ? even : evenPart * even + (1 - evenPart) * arrivalsPerSecond / total;
+}
+
+double demand_share::share() const
+{
+    return shareOf(m_arrivalsPerSecond, totalArrivalsPerSecond());
+}
+
+std::unordered_map<std::string, double> demand_share::shares(const std::string& self) const
+{
+    const double total = totalArrivalsPerSecond();
+    std::unordered_map<std::string, double> byEntry { { self, shareOf(m_arrivalsPerSecond, total) } };
+    for (const auto& [entry, arrivals] : m_peers)
+        byEntry.emplace(entry, shareOf(arrivals, total));
+    return byEntry;
 }
 
 }
--- a/serving/demand_share.h
+++ b/serving/demand_share.h
@@ -25,7 +25,13 @@
     // This entry's share of the arrivals of all entries, from 0 to 1. Equal shares while nothing arrives.
     double share() const;
 
+    // The shares of all entries by address. `self` is the address of this one.
+    std::unordered_map<std::string, double> shares(const std::string& self) const;
+
 private:
+    double totalArrivalsPerSecond() const;
+    double shareOf(double arrivalsPerSecond, double total) const;
+
     std::uint32_t m_arrivals = 0;
     double m_arrivalsPerSecond = 0;
     time_point m_updatedAt;
--- a/serving/runner_directory.cpp
+++ b/serving/runner_directory.cpp
@@ -1,5 +1,7 @@
 #include "serving/runner_directory.h"
 
+#include "serving/load_estimate.h"
+#include "serving/runner_choice.h"
 #include "serving/runner_followers.h"
 
 #include <algorithm>
@@ -17,13 +19,6 @@
 constexpr duration initialBackoff = std::chrono::milliseconds(250);
 constexpr duration maxBackoff = std::chrono::seconds(4);
 
-// Weight of the failure rate in the score: a runner that fails every second request counts as nine times as loaded as a
-// healthy one.
-constexpr double failurePenalty = 16;
-
-// Passes up to this duration do not raise the score of a group.
-constexpr double neutralPassMs = 60;
-
 // Agents report to an entry within 0.2 s after it learned of a new process. After this time the runner is used without a
 // load report, since its agent may be down.
 constexpr duration firstReportTimeout = std::chrono::milliseconds(800);
@@ -34,13 +29,9 @@
 // A single rank may exceed the limit of its group by this factor, because loads differ for a moment.
 constexpr double rankLimitMargin = 1.25;
 
-// Each entry samples its share of the runners, but on average no fewer than this.
+// Each entry samples its share of the runners without load reports, but on average no fewer than this.
 constexpr std::size_t minSampledRunners = 4;
 
-// Score penalties that rank a runner behind all sampled ones, and behind all others.
-constexpr double unsampledPenalty = 1e5;
-constexpr double excludedPenalty = 1e7;
-
 // Used until a time to first byte has been measured in the pool.
 constexpr double defaultTimeToFirstByteMs = 200;
 
@@ -87,6 +78,7 @@
         known.emplace(listing.id, std::move(record));
     }
     m_runners = std::move(known);
+    updateFollowerShares();
 }
 
 void runner_directory::setFollowed(const std::unordered_set<std::string>& addresses)
@@ -96,6 +88,24 @@
         record.isFollowed = !engineOf(record.listing.pool) || addresses.contains(record.listing.address);
 }
 
+void runner_directory::setDemandShares(std::unordered_map<std::string, double> byEntry)
+{
+    m_demandShares = std::move(byEntry);
+    updateFollowerShares();
+}
+
+void runner_directory::updateFollowerShares()
+{
+    if (m_demandShares.empty())
+        return;
+    const std::vector<std::string> addresses = modelRunnerAddresses();
+    const std::size_t followers = followersPerRunner(addresses.size(), m_demandShares.size());
+    for (auto& [id, record] : m_runners) {
+        if (record.isFollowed && engineOf(record.listing.pool))
+            record.share = followerShare(record.listing.address, m_self, m_demandShares, followers);
+    }
+}
+
 std::vector<std::string> runner_directory::modelRunnerAddresses() const
 {
     std::vector<std::string> addresses;
@@ -148,7 +158,7 @@
         record->backoffUntil = {};
         record->consecutiveFailures = 0;
     }
-    record->load = runner_record::load_sample { report.running + report.waiting, report.running, record->inFlight, now, report.pace, report.isGroupOpen };
+    record->load = runner_record::load_sample { report.running + report.waiting, report.running, record->inFlight, 0, now, report.pace, report.isGroupOpen };
     record->group = report.group;
     record->rank = report.rank;
 }
@@ -245,19 +255,21 @@
     return exclusionOf(record, now) == exclusion_reason::None;
 }
 
-double runner_directory::score(const runner_record& record, time_point now) const
+double runner_directory::load(const runner_record& record, time_point now) const
 {
-    const double load = record.estimatedLoad(now);
-    const double pace = record.load ? std::max(1.0, record.load->pace) : 1.0;
-    // All ranks of a group advance in lock-step, so a group with long passes is slow on each of its ranks.
-    const double pass = std::max(1.0, smoothedPassMs(record.group) / neutralPassMs);
-    return (load + 1) * pace * pass * (1 + failurePenalty * record.failureRate) * (1 + record.responseMs / 1000);
+    if (!engineOf(record.listing.pool))
+        return record.inFlight;
+    // Until the shares are known, the entries are taken for equal, each with its turn anywhere among them.
+    const double even = 1 / static_cast<double>(std::max<std::size_t>(m_entryCount, 1));
+    const auto serviceTime = std::chrono::duration_cast<duration>(std::chrono::duration<double>(serviceSeconds(record.listing.pool)));
+    return assumedLoad(record, record.share.value_or(follower_share { even, 0 }), serviceTime, now);
 }
 
-bool runner_directory::isSampled(std::size_t candidates, std::size_t poolSize)
+std::size_t runner_directory::sampleSize(const pool_id& pool) const
 {
-    const double sampleProbability = static_cast<double>(std::max(poolSize / std::max<std::size_t>(m_entryCount, 1), minSampledRunners)) / static_cast<double>(candidates);
-    return m_random() < sampleProbability;
+    const auto members = m_byPool.find(pool);
+    const std::size_t poolSize = members == m_byPool.end() ? 0 : members->second.size();
+    return std::max(poolSize / std::max<std::size_t>(m_entryCount, 1), minSampledRunners);
 }
 
 bool runner_directory::isAnyFollowedUsable(const std::vector<runner_id>& members, time_point now) const
@@ -296,26 +308,15 @@
 
 std::optional<runner_id> runner_directory::choose(const pool_id& pool, const std::vector<runner_id>& excluded, time_point now)
 {
-    const std::vector<const runner_record*> usable = candidates(pool, now);
-    const auto members = m_byPool.find(pool);
-    const std::size_t poolSize = members == m_byPool.end() ? 0 : members->second.size();
-    const runner_record* best = nullptr;
-    double bestScore = std::numeric_limits<double>::infinity();
-    for (const runner_record* record : usable) {
+    std::vector<runner_candidate> compared;
+    for (const runner_record* record : candidates(pool, now)) {
         if (record->estimatedLoad(now) >= requestLimit(*record))
             continue;
-        double value = score(*record, now);
-        // If all entries compared all runners from the same reports, they would all choose the same one.
-        if (!isSampled(usable.size(), poolSize))
-            value += unsampledPenalty;
-        if (std::find(excluded.begin(), excluded.end(), record->listing.id) != excluded.end())
-            value += excludedPenalty;
-        value *= 1 + 0.2 * m_random();
-        if (value < bestScore) {
-            bestScore = value;
-            best = record;
-        }
+        const bool isTried = std::find(excluded.begin(), excluded.end(), record->listing.id) != excluded.end();
+        const double score = runnerScore(*record, load(*record, now), smoothedPassMs(record->group));
+        compared.push_back({ record, score, record->share.has_value(), isTried });
     }
+    const runner_record* best = chooseRunner(compared, sampleSize(pool), m_random);
     return best ? std::optional(best->listing.id) : std::nullopt;
 }
 
@@ -391,6 +392,8 @@
     if (!record)
         return;
     ++record->inFlight;
+    if (record->load)
+        ++record->load->sentSince;
     record->limit.onSent(now);
 }
 
--- a/serving/runner_directory.h
+++ b/serving/runner_directory.h
@@ -43,6 +43,10 @@
     // this share of it: from the same reports, all entries see the same free slots.
     void setDemandShare(double share) { m_demandShare = share; }
 
+    // Sets the shares of all entries in the demand, by address. From them the entry assumes how many requests the others send to
+    // a runner between two reports.
+    void setDemandShares(std::unordered_map<std::string, double> byEntry);
+
     // Sets the addresses of the model runners whose load this entry follows. Others are used only while none of these is
     // usable.
     void setFollowed(const std::unordered_set<std::string>& addresses);
@@ -144,7 +148,8 @@
     std::unordered_map<group_id, group_use> groupUse(const pool_id&, const engine_profile&, time_point now) const;
     // Moving average of the time that a request of the pool takes.
     double serviceSeconds(const pool_id&) const;
-    bool isSampled(std::size_t candidates, std::size_t poolSize);
+    // Average number of runners without load reports that a choice compares.
+    std::size_t sampleSize(const pool_id&) const;
     // Whether any followed runner of the pool is usable.
     bool isAnyFollowedUsable(const std::vector<runner_id>& members, time_point now) const;
     // Runners of the pool that requests may be sent to now, without those of groups of which this entry uses its share.
@@ -156,7 +161,8 @@
     // Mean number of requests on the ranks of a group with a recent load report. Nothing if there is no such rank.
     std::optional<double> meanRunning(const group_id&, time_point now) const;
     const engine_profile* engineOf(const pool_id&) const;
-    double score(const runner_record&, time_point now) const;
+    double load(const runner_record&, time_point now) const;
+    void updateFollowerShares();
     runner_record* findRecord(const runner_id&);
     runner_record* findRecord(runner_process_id);
     void recordFailure(const runner_id&, attempt_failure, time_point now);
@@ -167,6 +173,7 @@
     random_source m_random;
     std::size_t m_entryCount = 1;
     double m_demandShare = 1;
+    std::unordered_map<std::string, double> m_demandShares;
     // Nothing until set; then all model runners are followed.
     std::optional<std::unordered_set<std::string>> m_followed;
     std::unordered_map<runner_id, runner_record> m_runners;
--- a/serving/runner_followers.cpp
+++ b/serving/runner_followers.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
+#include <utility>
 
 namespace sardinelb {
 
@@ -50,6 +52,28 @@
     return static_cast<std::size_t>(std::count_if(entries.begin(), entries.end(), isAhead));
 }
 
+follower_share followerShare(const std::string& runner, const std::string& self, const std::unordered_map<std::string, double>& shares, std::size_t followers)
+{
+    const std::uint64_t runnerHash = hashOf(runner);
+    const std::uint64_t own = combined(runnerHash, hashOf(self));
+    std::vector<std::pair<std::uint64_t, double>> others;
+    for (const auto& [entry, share] : shares) {
+        if (entry != self)
+            others.emplace_back(combined(runnerHash, hashOf(entry)), share);
+    }
+    const std::size_t count = std::min(others.size(), std::max<std::size_t>(followers, 1) - 1);
+    std::partial_sort(others.begin(), others.begin() + static_cast<std::ptrdiff_t>(count), others.end(), std::greater<>());
+    const auto found = shares.find(self);
+    const double ownShare = found == shares.end() ? 0 : found->second;
+    double total = ownShare;
+    double preceding = 0;
+    for (std::size_t i = 0; i < count; ++i) {
+        total += others[i].second;
+        preceding += others[i].first > own ? others[i].second : 0;
+    }
+    return total > 0 ? follower_share { ownShare / total, preceding / total } : follower_share {};
+}
+
 std::unordered_set<std::string> followedRunners(const std::vector<std::string>& runners, const std::string& self, const std::vector<std::string>& entries)
 {
     const std::size_t followers = followersPerRunner(runners.size(), entries.size());
--- a/serving/runner_followers.h
+++ b/serving/runner_followers.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "serving/follower_share.h"
+
 #include <cstddef>
 #include <string>
+#include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
@@ -18,6 +21,11 @@
 // Position of an entry, from 0, in an order of all entries that differs from runner to runner. The followers come first.
 std::size_t followerPosition(const std::string& runner, const std::string& self, const std::vector<std::string>& entries);
 
+// Part of the demand for a runner that comes from the entry `self`, if each entry's demand is divided evenly among the runners
+// that it follows. `shares` are the shares of all entries in the demand for all runners, by address. An entry that does not follow the runner
+// counts as the last of its followers.
+follower_share followerShare(const std::string& runner, const std::string& self, const std::unordered_map<std::string, double>& shares, std::size_t followers);
+
 // Number of entries that follow each runner.
 std::size_t followersPerRunner(std::size_t runners, std::size_t entries);
 
--- a/serving/runner_record.h
+++ b/serving/runner_record.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "serving/follower_share.h"
 #include "serving/listed_runner.h"
 #include "serving/runner_limit.h"
 #include "state/ids.h"
@@ -19,6 +20,8 @@
         std::uint32_t running = 0;
         // This entry's requests in flight when the report arrived.
         std::uint32_t own = 0;
+        // Requests that this entry has sent since.
+        std::uint32_t sentSince = 0;
         time_point at;
         double pace = 1;
         bool isGroupOpen = true;
@@ -27,6 +30,8 @@
     listed_runner listing;
     // Whether this entry follows the runner's load. See runner_followers.h.
     bool isFollowed = true;
+    // This entry's part of the demand for the runner. Nothing until the shares of all entries are known.
+    std::optional<follower_share> share;
     // When the process first appeared in the list.
     time_point listedAt;
     // This entry's requests in flight.
