Use ranks whose agents have ended while other groups are closed

Only ranks that an entry does not follow, or that have never reported, are taken for closed with the others of their pool.

--- a/serving/runner_directory.cpp
+++ b/serving/runner_directory.cpp
@@ -275,6 +275,9 @@
 {
     if (record.load && now - record.load->at <= maxBackoff)
         return !record.load->isGroupOpen;
+    // The agent of a runner that has reported before may be down while its group is open.
+    if (record.load && record.isFollowed)
+        return false;
     // Without this, entries would turn to the ranks that they don't follow while all groups are forming.
     const auto known = m_reports.find(record.listing.pool);
     if (known == m_reports.end())
--- a/tests/fleet/load_patterns_test.cpp
+++ b/tests/fleet/load_patterns_test.cpp
@@ -365,6 +365,19 @@
     EXPECT_TRUE(directory.choose(m_pool, {}, at(milliseconds(2000))));
 }
 
+// Guards against leaving a runner unused for good because its agent is down while the groups of others are closed.
+TEST_F(runner_choice_under_load, agentEndsWhileAnotherGroupIsClosed_runnerIsUsed)
+{
+    runner_directory directory = directoryOf(2, 12);
+    directory.onLoadReport(load(0, 0), at(milliseconds(0)));
+    rank_load closed = load(1, 0);
+    closed.isGroupOpen = false;
+    directory.onLoadReport(closed, at(milliseconds(6000)));
+    const auto chosen = directory.choose(m_pool, {}, at(milliseconds(6001)));
+    ASSERT_TRUE(chosen);
+    EXPECT_EQ(*chosen, load(0, 0).runner);
+}
+
 TEST_F(runner_choice_under_load, allRunnersFull_noFreeSlot)
 {
     runner_directory directory = directoryOf(8, 12);
