Wait only shortly after rolling back another coordinator's switch

A rollback made a coordinator wait 3 s for its next switch, as after lost orders, also when only the other coordinator had failed.

--- a/expert_map/map_switch.cpp
+++ b/expert_map/map_switch.cpp
@@ -368,6 +368,7 @@
 
 void map_switch::startRollback(time_point now)
 {
+    m_isForeignRollback = m_stage == stage::Idle;
     const auto held = heldStep();
     if (m_stage == stage::Arming && held && held != m_step) {
         // The pass of this switch has been released, and another switch has begun.
@@ -670,11 +671,13 @@
     }
     if (!isRolledBack)
         return;
+    // The failure of another coordinator says nothing of the next switch.
+    const duration retryDelay = m_isForeignRollback ? shortRetryDelay : longRetryDelay;
     if (held) {
         startRelease(now);
-        m_nextSwitchAt = now + longRetryDelay;
+        m_nextSwitchAt = now + retryDelay;
     } else {
-        returnToIdle(longRetryDelay, now);
+        returnToIdle(retryDelay, now);
     }
 }
 
--- a/expert_map/map_switch.h
+++ b/expert_map/map_switch.h
@@ -170,6 +170,8 @@
     map_version m_rollbackVersion;
     // The held pass that the rollback is for.
     std::optional<step_number> m_rollbackStep;
+    // Whether the rollback is of a switch that another coordinator has left undecided.
+    bool m_isForeignRollback = false;
     step_number m_step;
     // Rank that holds the pass of this switch.
     rank_id m_holder;
