Arm the rank of a failed coordinator only after it has been reached again

A standby that completed another's switch had the witness send the arm order to the rank beside the failed coordinator before it knew that the rank could not be reached, and then the rank could not be sealed: groups stood until the machine woke.

--- a/expert_map/map_switch.cpp
+++ b/expert_map/map_switch.cpp
@@ -341,11 +341,20 @@
     advanceArming(now);
 }
 
-void map_switch::armWitnessedRank()
+void map_switch::armWitnessedRank(time_point now)
 {
     const auto rank = witnessedRank();
     if (!rank || m_isWitnessedArmSent || m_armedRanks.contains(*rank) || m_armedRanks.size() + 1 < m_groupSize)
         return;
+    // Once its order has been sent, the rank cannot be sealed. It may have failed together with its coordinator.
+    // If one has been sent already, the witness knows whether the rank is armed.
+    const bool isSealable = !m_unsealableSteps.contains(m_step);
+    const bool isKnownReachable = *rank == m_coordinator || m_ranks[*rank].receivedAt > m_stageSince;
+    if (isSealable && !isKnownReachable) {
+        if (isUnreachable(*rank, now))
+            startRollback(now);
+        return;
+    }
     m_isWitnessedArmSent = true;
     queueOrder(map_order::kind::Arm, *rank, m_version, m_step);
 }
@@ -549,7 +558,7 @@
         startRollback(now);
         return;
     }
-    armWitnessedRank();
+    armWitnessedRank(now);
     for (const auto& [rank, refusedAt] : m_armRefusedAt) {
         const bool isReasonKnown = m_ranks[rank].receivedAt > refusedAt || now - refusedAt > refusalReportTimeout;
         if (!m_armedRanks.contains(rank) && isReasonKnown) {
--- a/expert_map/map_switch.h
+++ b/expert_map/map_switch.h
@@ -108,8 +108,8 @@
     void queueOrder(map_order::kind, rank_id, map_version, step_number, std::shared_ptr<const expert_placement> placement = nullptr);
     void startHolding(time_point now);
     void startArming(time_point now);
-    // Arms the witnessed rank once all others are armed.
-    void armWitnessedRank();
+    // Arms the witnessed rank once all others are armed and, for another coordinator's switch, the rank has reported since.
+    void armWitnessedRank(time_point now);
     void adoptSwitch(map_version, time_point now);
     void startRelease(time_point now);
     bool isUnreachable(rank_id, time_point now) const;
