--- a/expert_map/map_switch.h
+++ b/expert_map/map_switch.h
@@ -108,8 +108,8 @@
     void queueOrder(map_order::kind, rank_id, map_version, step_number, std::shared_ptr<const expert_placement> placement = nullptr);
     void startHolding(time_point now);
     void startArming(time_point now);
-    // Arms the witnessed rank once all others are armed.
-    void armWitnessedRank();
+    // Arms the witnessed rank once all others are armed and, for another coordinator's switch, the rank has reported since.
+    void armWitnessedRank(time_point now);
     void adoptSwitch(map_version, time_point now);
     void startRelease(time_point now);
     bool isUnreachable(rank_id, time_point now) const;
@@ -170,6 +170,8 @@
     map_version m_rollbackVersion;
     // The held pass that the rollback is for.
     std::optional<step_number> m_rollbackStep;
+    // Whether the rollback is of a switch that another coordinator has left undecided.
+    bool m_isForeignRollback = false;
     step_number m_step;
     // Rank that holds the pass of this switch.
     rank_id m_holder;
