--- a/relay/incoming_body.h
+++ b/relay/incoming_body.h
@@ -24,6 +24,9 @@
     constexpr std::size_t minStepBytes = 4096;
     if (neededBytes <= capacity)
         return capacity;
+    // Most bodies arrive in one part and are shorter than a step.
+    if (neededBytes <= minStepBytes)
+        return std::max(neededBytes, std::min(2 * capacity, minStepBytes));
     const std::size_t grownBytes = neededBytes + std::max(minStepBytes, neededBytes / 4);
     return grownBytes <= maxHeapBytes ? grownBytes : std::max(grownBytes, mappedBufferBytes);
 }
