Prefer other groups while the passes of one exceed the objective

A slow rank lengthens all passes of its group, and requests still went there while other groups had room. A group is now avoided while its passes exceed the objective and are at least 1.3 times those of the fastest other group; it returns at lower factors, or when no pass has been seen for 0.5 s.

--- a/serving/runner_choice.cpp
+++ b/serving/runner_choice.cpp
@@ -14,8 +14,9 @@
 // Passes up to this duration do not raise the score of a group.
 constexpr double neutralPassMs = 60;
 
-// Score penalties that rank a runner behind all sampled ones, and behind all others.
+// Score penalties that rank a runner behind all sampled ones, behind those of other groups, and behind all others.
 constexpr double unsampledPenalty = 1e5;
+constexpr double avoidedGroupPenalty = 1e6;
 constexpr double triedPenalty = 1e7;
 
 // Random part of a score. Scores that allow for the other entries differ enough, so that only ties are left to chance.
@@ -41,6 +42,8 @@
         double score = candidate.score;
         if (!candidate.isLoadShared && random() >= sampleProbability)
             score += unsampledPenalty;
+        if (candidate.isGroupAvoided)
+            score += avoidedGroupPenalty;
         if (candidate.isTried)
             score += triedPenalty;
         score *= 1 + (candidate.isLoadShared ? tieBreakPart : randomPart) * random();
--- a/serving/runner_choice.h
+++ b/serving/runner_choice.h
@@ -15,6 +15,8 @@
     double score = 0;
     // Whether the score allows for the requests that other entries send meanwhile.
     bool isLoadShared = false;
+    // Whether other groups should be preferred. See group_shift.h.
+    bool isGroupAvoided = false;
     // Whether the request has been tried there before.
     bool isTried = false;
 };
--- a/serving/runner_directory.cpp
+++ b/serving/runner_directory.cpp
@@ -314,7 +314,7 @@
             continue;
         const bool isTried = std::find(excluded.begin(), excluded.end(), record->listing.id) != excluded.end();
         const double score = runnerScore(*record, load(*record, now), smoothedPassMs(record->group));
-        compared.push_back({ record, score, record->share.has_value(), isTried });
+        compared.push_back({ record, score, record->share.has_value(), m_groupShift.isAvoided(record->group, now), isTried });
     }
     const runner_record* best = chooseRunner(compared, sampleSize(pool), m_random);
     return best ? std::optional(best->listing.id) : std::nullopt;
@@ -580,6 +580,7 @@
     limit.onPass(gap, objective);
     if (!limit.isUpdateDue(now))
         return;
+    m_groupShift.onPasses(record->group, limit.smoothedPassMs(), std::chrono::duration<double, std::milli>(objective).count(), now);
     if (const auto running = meanRunning(record->group, now))
         limit.update(*engine, *running, now);
 }
--- a/serving/runner_directory.h
+++ b/serving/runner_directory.h
@@ -4,6 +4,7 @@
 #include "serving/engine_profile.h"
 #include "serving/exclusion_reason.h"
 #include "serving/group_limit.h"
+#include "serving/group_shift.h"
 #include "serving/listed_runner.h"
 #include "serving/rank_load.h"
 #include "serving/runner_record.h"
@@ -185,6 +186,7 @@
     // Also contains the pools without an engine.
     std::unordered_map<pool_id, std::optional<engine_profile>> m_engines;
     std::unordered_map<group_id, group_limit> m_groups;
+    group_shift m_groupShift;
     std::unordered_set<pool_id> m_clearingBacklog;
     // Moving averages by pool.
     std::unordered_map<pool_id, double> m_timeToFirstByteMs;
--- a/tests/fleet/runner_choice_test.cpp
+++ b/tests/fleet/runner_choice_test.cpp
@@ -1,4 +1,5 @@
 #include "bench/entry_fleet_simulation.h"
+#include "serving/group_shift.h"
 #include "serving/load_estimate.h"
 #include "serving/runner_choice.h"
 #include "serving/runner_followers.h"
@@ -87,4 +88,45 @@
     EXPECT_NEAR(total, 1, 1e-9);
 }
 
+class slow_group : public testing::Test {
+protected:
+    void pass(const char* group, double ms, milliseconds now) { m_shift.onPasses(group_id(group), ms, 120, time_point(now)); }
+    bool isAvoided(const char* group, milliseconds now) const { return m_shift.isAvoided(group_id(group), time_point(now)); }
+
+    group_shift m_shift;
+};
+
+// Guards against streams that are all late in a group with a slow rank, while another group has room.
+TEST_F(slow_group, passesAboveObjective_avoidedUntilClearlyFaster)
+{
+    pass("a", 70, milliseconds(0));
+    pass("b", 200, milliseconds(100));
+    EXPECT_TRUE(isAvoided("b", milliseconds(150)));
+    EXPECT_FALSE(isAvoided("a", milliseconds(150)));
+    pass("a", 70, milliseconds(200));
+    pass("b", 110, milliseconds(200));
+    EXPECT_TRUE(isAvoided("b", milliseconds(250)));
+    pass("b", 90, milliseconds(300));
+    EXPECT_FALSE(isAvoided("b", milliseconds(350)));
+    pass("b", 110, milliseconds(400));
+    EXPECT_FALSE(isAvoided("b", milliseconds(450)));
+}
+
+// Guards against demand that is moved back and forth between groups that are all slow because all are full.
+TEST_F(slow_group, allGroupsSlow_noneAvoided)
+{
+    pass("a", 150, milliseconds(0));
+    pass("b", 180, milliseconds(0));
+    EXPECT_FALSE(isAvoided("a", milliseconds(10)));
+    EXPECT_FALSE(isAvoided("b", milliseconds(10)));
+}
+
+// Guards against a group that stays without requests, and thus without passes, after its rank has recovered.
+TEST_F(slow_group, noPassesForAWhile_usedAgain)
+{
+    pass("a", 70, milliseconds(0));
+    pass("b", 200, milliseconds(0));
+    EXPECT_FALSE(isAvoided("b", milliseconds(600)));
+}
+
 }
