--- a/fleet/entry_process.cpp
+++ b/fleet/entry_process.cpp
@@ -226,6 +226,8 @@
 {
     if (message.target == "/metrics") {
         updateMemoryMetrics();
+        for (const auto& [group, spread] : entry.runners().loadSpreads(steadyNow()))
+            metrics.setLoadSpread(group.value(), spread);
         caller->respond(200, "Content-Type: text/plain; version=0.0.4\r\n", metrics.text());
     } else if (message.target == platform::readinessPath)
         caller->respond(isReady() ? 200 : 503, "", "");
--- a/fleet/process_metrics.cpp
+++ b/fleet/process_metrics.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 const prometheus::Histogram::BucketBoundaries latencyBucketsSeconds { 0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 4, 8 };
+const prometheus::Histogram::BucketBoundaries sentOnReportBuckets { 0, 1, 2, 4, 8, 16 };
 
 double seconds(duration value)
 {
@@ -24,6 +25,9 @@
     prometheus::Family<prometheus::Counter>& requests = prometheus::BuildCounter().Name("sardinelb_requests_total").Help("Requests of callers by outcome.").Register(registry);
     prometheus::Family<prometheus::Counter>& events = prometheus::BuildCounter().Name("sardinelb_events_total").Help("Decisions and changes of belief by kind.").Register(registry);
     prometheus::Family<prometheus::Gauge>& memory = prometheus::BuildGauge().Name("sardinelb_caller_memory_bytes").Help("Memory reserved for connections of callers by use.").Register(registry);
+    prometheus::Family<prometheus::Gauge>& loadSpread = prometheus::BuildGauge().Name("sardinelb_load_spread").Help("Standard deviation of running requests over the ranks of a group.").Register(registry);
+    prometheus::Histogram& reportAge = prometheus::BuildHistogram().Name("sardinelb_report_age_seconds").Help("Age of a runner's load report when the runner is chosen.").Register(registry).Add({}, latencyBucketsSeconds);
+    prometheus::Histogram& sentOnReport = prometheus::BuildHistogram().Name("sardinelb_sent_on_report").Help("Requests sent before on the same load report when a runner is chosen.").Register(registry).Add({}, sentOnReportBuckets);
     prometheus::Histogram& total = prometheus::BuildHistogram().Name("sardinelb_request_seconds").Help("Time from a request to the end of its answer.").Register(registry).Add({}, latencyBucketsSeconds);
     prometheus::Histogram& first = prometheus::BuildHistogram().Name("sardinelb_first_answer_seconds").Help("Time from a request to the first part of its answer.").Register(registry).Add({}, latencyBucketsSeconds);
 };
@@ -46,6 +50,17 @@
     m_implementation->first.Observe(seconds(sinceArrival));
 }
 
+void process_metrics::recordChoice(duration reportAge, std::size_t sentOnReport)
+{
+    m_implementation->reportAge.Observe(seconds(reportAge));
+    m_implementation->sentOnReport.Observe(static_cast<double>(sentOnReport));
+}
+
+void process_metrics::setLoadSpread(const std::string& group, double requests)
+{
+    m_implementation->loadSpread.Add({ { "group", group } }).Set(requests);
+}
+
 void process_metrics::count(const std::string& event)
 {
     m_implementation->events.Add({ { "event", event } }).Increment();
--- a/fleet/process_metrics.h
+++ b/fleet/process_metrics.h
@@ -20,6 +20,12 @@
     // Records the time from the arrival of a request to the first part of a runner's response.
     void recordTimeToFirstByte(duration sinceArrival);
 
+    // Records a choice of a model runner: the age of its last load report, and how many requests this entry has sent on that report.
+    void recordChoice(duration reportAge, std::size_t sentOnReport);
+
+    // Sets the standard deviation of running requests over the ranks of a group, by the last reports.
+    void setLoadSpread(const std::string& group, double requests);
+
     // Counts an event, such as a retry.
     void count(const std::string& event);
 
--- a/fleet/request_relay.cpp
+++ b/fleet/request_relay.cpp
@@ -227,6 +227,8 @@
     const time_point now = steadyNow();
     if (!m_triedRunners.empty())
         m_context.metrics().count("retry");
+    if (record->load)
+        m_context.metrics().recordChoice(now - record->load->at, record->load->sentSince);
     m_triedRunners.push_back(runner);
     runner_attempt attempt;
     attempt.number = static_cast<std::uint32_t>(m_triedRunners.size());
--- a/serving/runner_directory.cpp
+++ b/serving/runner_directory.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <numeric>
 
 namespace sardinelb {
 
@@ -585,6 +586,25 @@
         limit.update(*engine, *running, now);
 }
 
+std::unordered_map<group_id, double> runner_directory::loadSpreads(time_point now) const
+{
+    std::unordered_map<group_id, std::vector<double>> running;
+    for (const auto& [id, record] : m_runners) {
+        if (record.hasRecentLoad(now))
+            running[record.group].push_back(record.load->running);
+    }
+    std::unordered_map<group_id, double> spreads;
+    for (const auto& [group, ranks] : running) {
+        const auto count = static_cast<double>(ranks.size());
+        const double mean = std::accumulate(ranks.begin(), ranks.end(), 0.0) / count;
+        double squares = 0;
+        for (const double rank : ranks)
+            squares += (rank - mean) * (rank - mean);
+        spreads.emplace(group, std::sqrt(squares / count));
+    }
+    return spreads;
+}
+
 std::vector<runner_directory::group_view> runner_directory::groups() const
 {
     std::vector<group_view> views;
--- a/serving/runner_directory.h
+++ b/serving/runner_directory.h
@@ -120,6 +120,9 @@
     const runner_record* find(const runner_id&) const;
     const std::unordered_map<runner_id, runner_record>& runners() const { return m_runners; }
 
+    // Standard deviation of running requests over the ranks of each group with recent load reports.
+    std::unordered_map<group_id, double> loadSpreads(time_point now) const;
+
     // Measured state of a group, for logs and tests.
     struct group_view {
         group_id group;
