--- a/fleet/request_relay.cpp
+++ b/fleet/request_relay.cpp
@@ -233,6 +233,8 @@
         m_context.metrics().count("retry");
     if (m_context.runners().isCold(*record, now))
         m_context.metrics().count("cold_runner_request");
+    if (record->load)
+        m_context.metrics().recordChoice(now - record->load->at, record->load->sentSince);
     m_triedRunners.push_back(runner);
     runner_attempt attempt;
     attempt.number = static_cast<std::uint32_t>(m_triedRunners.size());
--- a/serving/runner_directory.cpp
+++ b/serving/runner_directory.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <numeric>
 #include <utility>
 
 namespace sardinelb {
@@ -362,7 +363,7 @@
             continue;
         const bool isTried = std::find(excluded.begin(), excluded.end(), record->listing.id) != excluded.end();
         const double score = runnerScore(*record, load(*record, now), smoothedPassMs(record->group));
-        compared.push_back({ record, score, record->share.has_value(), isTried });
+        compared.push_back({ record, score, record->share.has_value(), m_groupShift.isAvoided(record->group, now), isTried });
     }
     const runner_record* best = chooseRunner(compared, sampleSize(pool), m_random);
     return best ? std::optional(best->listing.id) : std::nullopt;
@@ -740,10 +741,30 @@
     limit.onPass(gap, objective);
     if (!limit.isUpdateDue(now))
         return;
+    m_groupShift.onPasses(record->group, limit.smoothedPassMs(), std::chrono::duration<double, std::milli>(objective).count(), now);
     if (const auto running = meanRunning(record->group, now))
         limit.update(*engine, *running, now);
 }
 
+std::unordered_map<group_id, double> runner_directory::loadSpreads(time_point now) const
+{
+    std::unordered_map<group_id, std::vector<double>> running;
+    for (const auto& [id, record] : m_runners) {
+        if (record.hasRecentLoad(now))
+            running[record.group].push_back(record.load->running);
+    }
+    std::unordered_map<group_id, double> spreads;
+    for (const auto& [group, ranks] : running) {
+        const auto count = static_cast<double>(ranks.size());
+        const double mean = std::accumulate(ranks.begin(), ranks.end(), 0.0) / count;
+        double squares = 0;
+        for (const double rank : ranks)
+            squares += (rank - mean) * (rank - mean);
+        spreads.emplace(group, std::sqrt(squares / count));
+    }
+    return spreads;
+}
+
 std::vector<runner_directory::group_view> runner_directory::groups() const
 {
     std::vector<group_view> views;
--- a/serving/runner_directory.h
+++ b/serving/runner_directory.h
@@ -5,6 +5,7 @@
 #include "serving/engine_profile.h"
 #include "serving/exclusion_reason.h"
 #include "serving/group_limit.h"
+#include "serving/group_shift.h"
 #include "serving/listed_runner.h"
 #include "serving/rank_load.h"
 #include "serving/runner_record.h"
@@ -152,6 +153,9 @@
     const runner_record* find(const runner_id&) const;
     const std::unordered_map<runner_id, runner_record>& runners() const { return m_runners; }
 
+    // Standard deviation of running requests over the ranks of each group with recent load reports.
+    std::unordered_map<group_id, double> loadSpreads(time_point now) const;
+
     // Measured state of a group, for logs and tests.
     struct group_view {
         group_id group;
@@ -241,6 +245,7 @@
     // Also contains the pools without an engine.
     std::unordered_map<pool_id, std::optional<engine_profile>> m_engines;
     std::unordered_map<group_id, group_limit> m_groups;
+    group_shift m_groupShift;
     std::unordered_set<pool_id> m_clearingBacklog;
     // Moving averages by pool.
     std::unordered_map<pool_id, double> m_timeToFirstByteMs;
