Keep the spacing of requests to a restarted runner, and end warm-ups

A runner that started again under its id, or whose row was missing for a moment, got a new limit that did not know when this entry had last sent it a request, so that each entry could send one more within the same second. The time is now kept by the id of the runner, also for a second after its row has gone.

What other entries say about cold runners was passed on again, a little later each time, so that a warm-up need not have ended. Only statements in the list or in answers to this entry are passed on now. No statement counts for more than a minute, or the configured time if that is longer.

A warm-up went on after its rate was taken out of the configuration. It ends at once now.

The five new tests of fleet_warm_up_test fail with the former behaviour and pass now.

--- a/fleet/entry_context.cpp
+++ b/fleet/entry_context.cpp
@@ -207,8 +207,11 @@
         m_log.write("runner_pause", { { "runner", runner.value() }, { "for_ms", wholeMilliseconds(*head.pauseTime) } });
         m_runners.onPauseRequested(process, *head.pauseTime, steadyNow());
     }
-    if (head.coldTimeLeft)
-        onColdRunners({ { process, *head.coldTimeLeft } });
+    if (head.coldTimeLeft) {
+        const cold_runner cold { process, *head.coldTimeLeft };
+        if (m_runners.onCold(cold, steadyNow()))
+            logCold(cold);
+    }
     if (!head.isLeaving || !m_runners.onLeaving(process))
         return;
     m_log.write("runner_leaving", { { "runner", runner.value() }, { "told_by", "answer" } });
@@ -234,11 +237,16 @@
 void entry_context::onColdRunners(const std::vector<cold_runner>& all)
 {
     for (const cold_runner& cold : all) {
-        if (m_runners.onCold(cold, steadyNow()))
-            m_log.write("runner_cold", { { "process", static_cast<std::int64_t>(cold.process.value()) }, { "for_ms", wholeMilliseconds(cold.timeLeft) } });
+        if (m_runners.onColdUpdate(cold, steadyNow()))
+            logCold(cold);
     }
 }
 
+void entry_context::logCold(const cold_runner& cold)
+{
+    m_log.write("runner_cold", { { "process", static_cast<std::int64_t>(cold.process.value()) }, { "for_ms", wholeMilliseconds(cold.timeLeft) } });
+}
+
 void entry_context::onEvacuationSnapshot(const std::vector<zone_evacuations::change>& rows, store_revision asOf)
 {
     if (m_evacuations.onSnapshot(rows, asOf, steadyNow()))
--- a/fleet/entry_context.h
+++ b/fleet/entry_context.h
@@ -101,6 +101,9 @@
     // Runners' processes that have said to another entry, or in the list that it follows, that they are cold.
     void onColdRunners(const std::vector<cold_runner>&);
 
+    // Logs that a runner has said that it is cold.
+    void logCold(const cold_runner&);
+
     // Evacuated availability zones. The first two take what the store says, see zone_evacuations; the third what another entry says.
     const zone_evacuations& evacuations() const { return m_evacuations; }
     void onEvacuationSnapshot(const std::vector<zone_evacuations::change>&, store_revision asOf);
--- a/serving/runner_directory.cpp
+++ b/serving/runner_directory.cpp
@@ -54,6 +54,9 @@
 // What a cold runner bears is counted in windows of a second, here with a margin for timers that fire late.
 constexpr duration warmUpWindow = std::chrono::milliseconds(1050);
 
+// A runner that is cold for longer says so again. Bounds the effect of a wrong statement.
+constexpr duration maxColdTime = std::chrono::minutes(1);
+
 // A runner with this many times the requests that it runs at once is far beyond what entries send it on purpose.
 constexpr std::uint32_t overrunFactor = 3;
 
@@ -82,22 +85,36 @@
             && before->second.listing.address == listing.address;
         if (isSameProcess)
             record = before->second;
-        else if (before != m_runners.end())
+        else if (before != m_runners.end()) {
             record.inFlight = before->second.inFlight;
+            record.limit.setLastSentAt(before->second.limit.lastSentAt());
+        } else if (const auto removed = m_lastSentToRemoved.find(listing.id); removed != m_lastSentToRemoved.end())
+            record.limit.setLastSentAt(removed->second);
         const bool isNewReport = !isSameProcess || record.listing.reportNumber != listing.reportNumber;
         record.listing = listing;
         if (!isSameProcess)
             beginWarmUp(record, now);
-        if (isNewReport && listing.coldTimeLeft > duration {} && warmUpOf(listing.pool))
-            record.limit.onCold(now + listing.coldTimeLeft);
+        const warm_up_limit* warmUp = warmUpOf(listing.pool);
+        if (isNewReport && listing.coldTimeLeft > duration {} && warmUp)
+            record.limit.onCold(coldUntil({ processOf(listing), listing.coldTimeLeft }, *warmUp, now));
         record.isFollowed = !engineOf(listing.pool) || !m_followed || m_followed->contains(listing.address);
         m_byPool[listing.pool].push_back(listing.id);
         m_byProcess[processOf(listing)] = listing.id;
         known.emplace(listing.id, std::move(record));
     }
+    rememberRemoved(known, now);
     m_runners = std::move(known);
 }
 
+void runner_directory::rememberRemoved(const std::unordered_map<runner_id, runner_record>& known, time_point now)
+{
+    for (const auto& [id, record] : m_runners) {
+        if (record.limit.lastSentAt() && !known.contains(id))
+            m_lastSentToRemoved[id] = *record.limit.lastSentAt();
+    }
+    std::erase_if(m_lastSentToRemoved, [&](const auto& entry) { return now - entry.second > warmUpWindow || known.contains(entry.first); });
+}
+
 void runner_directory::setFollowed(const std::unordered_set<std::string>& addresses)
 {
     m_followed = addresses;
@@ -520,6 +537,8 @@
         // Runners that were listed before the first configuration have not been taken for cold.
         if (limit && now - record.listedAt < limit->time)
             record.limit.extendWarmUp(record.listedAt + limit->time);
+        if (!limit)
+            record.limit.endWarmUp();
     }
 }
 
@@ -557,13 +576,30 @@
     record.limit.extendWarmUp(now + limit->time);
 }
 
+time_point runner_directory::coldUntil(const cold_runner& cold, const warm_up_limit& limit, time_point now)
+{
+    return now + std::min(cold.timeLeft, std::max(maxColdTime, limit.time));
+}
+
 bool runner_directory::onCold(const cold_runner& cold, time_point now)
 {
     runner_record* record = findRecord(cold.process);
-    if (!record || !warmUpOf(record->listing.pool))
+    const warm_up_limit* limit = record ? warmUpOf(record->listing.pool) : nullptr;
+    if (!limit)
+        return false;
+    const bool isNews = !record->limit.isWarmingUp(now);
+    record->limit.onCold(coldUntil(cold, *limit, now));
+    return isNews;
+}
+
+bool runner_directory::onColdUpdate(const cold_runner& cold, time_point now)
+{
+    runner_record* record = findRecord(cold.process);
+    const warm_up_limit* limit = record ? warmUpOf(record->listing.pool) : nullptr;
+    if (!limit)
         return false;
     const bool isNews = !record->limit.isWarmingUp(now);
-    record->limit.onCold(now + cold.timeLeft);
+    record->limit.onColdUpdate(coldUntil(cold, *limit, now));
     return isNews;
 }
 
@@ -580,7 +616,7 @@
 bool runner_directory::isCold(const runner_record& record, time_point now) const
 {
     const warm_up_limit* limit = warmUpOf(record.listing.pool);
-    return limit && (now - record.listedAt < limit->time || record.limit.coldTimeLeft(now));
+    return limit && (now - record.listedAt < limit->time || record.limit.isCold(now));
 }
 
 bool runner_directory::isOverrun(const runner_record& record, time_point now) const
--- a/serving/runner_directory.h
+++ b/serving/runner_directory.h
@@ -44,11 +44,14 @@
     // Sets the addresses of all entries that may send to the same cold runners. Unless `isComplete`, there may be many more.
     void setWarmUpEntries(std::vector<std::string> addresses, bool isComplete);
 
-    // Records that a runner's process says that it is cold, to this entry or another one. Returns whether that is news. Ignored for a
-    // process that is not listed.
+    // Records that a runner's process says to this entry that it is cold. Returns whether that is news. Ignored for a process that is
+    // not listed.
     bool onCold(const cold_runner&, time_point now);
 
-    // The processes that say that they are cold, for the other entries.
+    // The same as said to another entry.
+    bool onColdUpdate(const cold_runner&, time_point now);
+
+    // The processes that say in the list or to this entry that they are cold, for the other entries.
     std::vector<cold_runner> coldRunners(time_point now) const;
 
     // Whether the process has started lately or says that it is cold, in a pool whose cold runners crash if they get too much.
@@ -204,6 +207,10 @@
     // The runner may have started at this moment, or turned cold unnoticed.
     void beginWarmUp(runner_record&, time_point now) const;
     void updateWarmUpShare(runner_record&) const;
+    // Until when a runner is cold that says that it is for this time.
+    static time_point coldUntil(const cold_runner&, const warm_up_limit&, time_point now);
+    // Remembers when requests were last sent to the runners that `known` no longer contains.
+    void rememberRemoved(const std::unordered_map<runner_id, runner_record>& known, time_point now);
     // Number of requests that the limits of the runner let this entry send now. Nothing if there is no limit.
     std::optional<std::uint32_t> sendable(const runner_record&, time_point now) const;
     // Rate at which a runner takes requests that would take `requestsPerSecond` without a limit.
@@ -230,6 +237,8 @@
     std::unordered_map<pool_id, warm_up_limit> m_warmUps;
     std::vector<std::string> m_warmUpEntries;
     time_point m_warmUpStart;
+    // When this entry last sent a request to runners that have just left the list.
+    std::unordered_map<runner_id, time_point> m_lastSentToRemoved;
     bool m_areWarmUpEntriesComplete = false;
     // Also contains the pools without an engine.
     std::unordered_map<pool_id, std::optional<engine_profile>> m_engines;
--- a/serving/runner_limit.cpp
+++ b/serving/runner_limit.cpp
@@ -93,6 +93,19 @@
     extendWarmUp(until);
 }
 
+void runner_limit::onColdUpdate(time_point until)
+{
+    m_reportedColdUntil = std::max(m_reportedColdUntil, until);
+    extendWarmUp(until);
+}
+
+void runner_limit::endWarmUp()
+{
+    m_warmUpUntil = {};
+    m_coldUntil = {};
+    m_reportedColdUntil = {};
+}
+
 std::optional<duration> runner_limit::coldTimeLeft(time_point now) const
 {
     return now < m_coldUntil ? std::optional(m_coldUntil - now) : std::nullopt;
--- a/serving/runner_limit.h
+++ b/serving/runner_limit.h
@@ -3,6 +3,7 @@
 #include "serving/runner_limit_update.h"
 #include "state/time.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -29,9 +30,19 @@
     // The runner may be cold until then. Never shortens a warm-up.
     void extendWarmUp(time_point until);
 
-    // The same, as the runner itself says, which the other entries are told.
+    // The same, as the runner itself says in the list or in an answer to this entry, which the other entries are told.
     void onCold(time_point until);
 
+    // The same, as the runner said to another entry. Not passed on, because each transfer makes the time a little later.
+    void onColdUpdate(time_point until);
+
+    // The runner takes as much as others at once, whatever it has said.
+    void endWarmUp();
+
+    // Keeps the spacing of requests to the process that had the runner's id before. This entry last sent it a request at that time.
+    void setLastSentAt(std::optional<time_point> at) { m_lastSentAt = at; }
+    const std::optional<time_point>& lastSentAt() const { return m_lastSentAt; }
+
     // Before this time the runner gets nothing while it is cold: a process of this entry that has ended may have sent it something.
     void setWarmUpStart(time_point notBefore) { m_warmUpStart = notBefore; }
 
@@ -40,7 +51,10 @@
 
     bool isWarmingUp(time_point now) const { return now < m_warmUpUntil; }
 
-    // How much longer the runner is cold by its own word. Nothing if it is not.
+    // Whether the runner has said, to this entry or another one, that it is cold.
+    bool isCold(time_point now) const { return now < std::max(m_coldUntil, m_reportedColdUntil); }
+
+    // How much longer the runner is cold by its own word to this entry. Nothing if it is not.
     std::optional<duration> coldTimeLeft(time_point now) const;
 
     void onSent(time_point now);
@@ -77,8 +91,9 @@
     double m_tokens = 0;
     time_point m_tokensAt;
     time_point m_warmUpUntil;
-    // The part of the warm-up that the runner itself has stated.
+    // The part of the warm-up that the runner itself has stated, to this entry and to others.
     time_point m_coldUntil;
+    time_point m_reportedColdUntil;
     double m_warmUpShare = 0;
     time_point m_warmUpStart;
     std::optional<time_point> m_lastSentAt;
--- a/tests/fleet/warm_up_test.cpp
+++ b/tests/fleet/warm_up_test.cpp
@@ -221,7 +221,7 @@
 TEST_F(warm_up_choice, answersAndOtherEntriesSayCold_longestCounts)
 {
     EXPECT_FALSE(m_directory.onCold({ processOf(runnerOf("1", 99)), seconds(9) }, m_now));
-    EXPECT_TRUE(m_directory.onCold({ processOf(runnerOf("1", 1)), seconds(5) }, m_now));
+    EXPECT_TRUE(m_directory.onColdUpdate({ processOf(runnerOf("1", 1)), seconds(5) }, m_now));
     EXPECT_FALSE(m_directory.onCold({ processOf(runnerOf("1", 1)), seconds(1) }, m_now));
     m_now += seconds(4);
     EXPECT_TRUE(isCold());
@@ -246,6 +246,57 @@
     EXPECT_TRUE(isCold());
 }
 
+// Guards against two entries that keep telling each other that a runner is cold, each time for a little longer.
+TEST_F(warm_up_choice, otherEntrySaysCold_notPassedOn)
+{
+    m_directory.onColdUpdate({ processOf(runnerOf("1", 1)), seconds(5) }, m_now);
+    EXPECT_TRUE(isCold());
+    EXPECT_TRUE(m_directory.isCold(*m_directory.find(runner_id("1")), m_now));
+    EXPECT_TRUE(m_directory.coldRunners(m_now).empty());
+}
+
+// Guards against a wrong statement that limits a runner for days.
+TEST_F(warm_up_choice, saysColdForDays_limitedForAMinute)
+{
+    m_directory.onColdUpdate({ processOf(runnerOf("1", 1)), std::chrono::hours(1000) }, m_now);
+    m_directory.onCold({ processOf(runnerOf("1", 1)), std::chrono::hours(1000) }, m_now);
+    m_now += seconds(60);
+    EXPECT_FALSE(isCold());
+}
+
+// Guards against a second request within the same second to a runner that starts again under its id.
+TEST_F(warm_up_choice, startsAgainUnderItsId_spacingKept)
+{
+    m_directory.onAttemptStarted(runner_id("1"), m_now);
+    m_now += milliseconds(10);
+    m_directory.setRunners({ runnerOf("1", 2) }, m_now);
+    EXPECT_FALSE(m_directory.choose(coldPool, {}, m_now));
+    m_now += seconds(1);
+    EXPECT_TRUE(m_directory.choose(coldPool, {}, m_now));
+}
+
+// Guards against the same for a runner whose row is missing for a moment.
+TEST_F(warm_up_choice, rowMissingForAMoment_spacingKept)
+{
+    m_directory.onAttemptStarted(runner_id("1"), m_now);
+    m_now += milliseconds(10);
+    m_directory.setRunners({}, m_now);
+    m_now += milliseconds(10);
+    m_directory.setRunners({ runnerOf("1", 2) }, m_now);
+    EXPECT_FALSE(m_directory.choose(coldPool, {}, m_now));
+    m_now += seconds(1);
+    EXPECT_TRUE(m_directory.choose(coldPool, {}, m_now));
+}
+
+// Guards against a warm-up that goes on after the rate was taken out of the configuration.
+TEST_F(warm_up_choice, coldRateRemovedDuringWarmUp_limitEnds)
+{
+    m_directory.onCold({ processOf(runnerOf("1", 1)), seconds(5) }, m_now);
+    m_directory.setWarmUp(coldPool, std::nullopt, m_now);
+    EXPECT_FALSE(isCold());
+    EXPECT_TRUE(m_directory.coldRunners(m_now).empty());
+}
+
 TEST_F(warm_up_choice, poolWithoutColdRate_neverLimited)
 {
     m_directory.setWarmUp(coldPool, std::nullopt, m_now);
