Never take an entry that hears of no other for the only one

After a minute without another entry, an entry used the whole rate of cold runners. Such an entry now always shares as if there were as many others as the runner bears.

Not mended: entries that start while cut off from a part of the others divide the rate among those they hear.

--- a/serving/recent_entries.cpp
+++ b/serving/recent_entries.cpp
@@ -10,9 +10,6 @@
 // Heartbeats come twice a second, and some are lost.
 constexpr duration settleTime = std::chrono::seconds(5);
 
-// An entry that hears of no other one is taken to be cut off for this long, and then to be the only one.
-constexpr duration loneSettleTime = std::chrono::seconds(60);
-
 }
 
 void recent_entries::onLiveEntries(const std::vector<std::string>& addresses, time_point now)
@@ -34,7 +31,8 @@
 
 bool recent_entries::isSettled(time_point now) const
 {
-    return m_startedAt && now - *m_startedAt >= (m_lastSeenAt.size() > 1 ? settleTime : loneSettleTime);
+    const bool isAlone = m_lastSeenAt.size() <= 1;
+    return m_startedAt && !isAlone && now - *m_startedAt >= settleTime;
 }
 
 }
--- a/serving/warm_up_limit.h
+++ b/serving/warm_up_limit.h
@@ -6,7 +6,8 @@
 
 namespace sardinelb {
 
-// What a runner takes from all entries together while it is cold: for a while after its start, or after it has said so.
+// What a runner takes from all entries together while it is cold: for a while after its start, or after it has said so. Entries that do
+// not know how many they are keep to it if they are at most `maxPerSecond`, and at most 64.
 struct warm_up_limit {
     // How long a runner is cold after its start.
     duration time {};
