Do not limit a warm runner for one lost response or a silent stream

Each lost response and each silent stream counted as a possible restart and limited the runner for the time of a warm-up. A refused connection or a second lost response in a row does so now.

A model runner without load reports was limited for as long as its agent was down. After ten seconds the list shows a restart, so the limit ends then. Runners that the entry does not follow stay limited, because they never send it reports.

--- a/serving/runner_directory.cpp
+++ b/serving/runner_directory.cpp
@@ -54,6 +54,9 @@
 // What a cold runner bears is counted in windows of a second, here with a margin for timers that fire late.
 constexpr duration warmUpWindow = std::chrono::milliseconds(1050);
 
+// The list shows within this time that a process has started again.
+constexpr duration restartListedTime = std::chrono::seconds(10);
+
 // A runner that is cold for longer says so again. Bounds the effect of a wrong statement.
 constexpr duration maxColdTime = std::chrono::minutes(1);
 
@@ -484,6 +487,13 @@
 {
     onAttemptAbandoned(id);
     recordFailure(id, failure, now);
+    runner_record* record = findRecord(id);
+    // A single lost response does not show that the runner has ended.
+    const bool mayHaveEnded = failure == attempt_failure::NotConnected || failure == attempt_failure::OutcomeUnknown;
+    const bool isSingleLoss = failure == attempt_failure::OutcomeUnknown && record && record->consecutiveFailures <= 1;
+    // The runner may start again under its id before the list shows it.
+    if (record && mayHaveEnded && !isSingleLoss)
+        beginWarmUp(*record, now);
 }
 
 void runner_directory::onSilence(const runner_id& id, time_point now)
@@ -510,8 +520,6 @@
         return;
     }
     const auto doubling = std::min<std::uint32_t>(record->consecutiveFailures++, 4);
-    // The runner may start again under its id before the list shows it.
-    beginWarmUp(*record, now);
     // A single lost response does not show that a runner is down; a refused connection does.
     if (failure == attempt_failure::OutcomeUnknown && doubling == 0)
         return;
@@ -633,8 +641,11 @@
 std::optional<std::uint32_t> runner_directory::sendable(const runner_record& record, time_point now) const
 {
     // A process that has started again under its id may not be listed yet; its agent shows that the known one is still there.
-    const bool isUnheard = engineOf(record.listing.pool) && warmUpOf(record.listing.pool) && !record.hasRecentLoad(now);
-    return isUnheard ? std::optional(record.limit.sendableWhenCold(now)) : record.limit.sendable(now);
+    // Without an agent, the list does so after some time, but runners that are not followed never send reports.
+    const time_point lastShownAt = record.load ? std::max(record.load->at, record.listedAt) : record.listedAt;
+    const bool isReportMissing = engineOf(record.listing.pool) && warmUpOf(record.listing.pool) && !record.hasRecentLoad(now);
+    const bool mayHaveRestarted = isReportMissing && (!record.isFollowed || now - lastShownAt < restartListedTime);
+    return mayHaveRestarted ? std::optional(record.limit.sendableWhenCold(now)) : record.limit.sendable(now);
 }
 
 void runner_directory::setEvacuatedZones(std::unordered_set<availability_zone_id> zones, time_point now)
--- a/tests/fleet/warm_up_test.cpp
+++ b/tests/fleet/warm_up_test.cpp
@@ -316,6 +316,51 @@
     EXPECT_TRUE(m_directory.coldRunners(m_now).empty());
 }
 
+// Guards against a warm runner that is limited for seconds because one answer was lost.
+TEST_F(warm_up_choice, oneResponseLost_notLimited)
+{
+    m_directory.onAttemptStarted(runner_id("1"), m_now);
+    m_directory.onAttemptFailed(runner_id("1"), attempt_failure::OutcomeUnknown, m_now);
+    EXPECT_FALSE(isCold());
+    m_directory.onAttemptStarted(runner_id("1"), m_now);
+    m_directory.onAttemptFailed(runner_id("1"), attempt_failure::OutcomeUnknown, m_now);
+    EXPECT_TRUE(isCold()) << "the runner may have ended with all its requests";
+}
+
+// Guards against the same after streams were silent for a while, which a slow runner explains.
+TEST_F(warm_up_choice, streamsSilent_notLimited)
+{
+    for (int i = 0; i < 3; ++i)
+        m_directory.onSilence(runner_id("1"), m_now);
+    EXPECT_FALSE(isCold());
+}
+
+// Guards against a model runner that stays limited for as long as its agent is down.
+TEST_F(warm_up_choice, agentOfModelRunnerEnds_limitedForAWhileOnly)
+{
+    engine_profile engine;
+    engine.slots = 10;
+    m_directory.setEngine(coldPool, engine);
+    rank_load load;
+    load.runner = runner_id("1");
+    load.group = group_id("g");
+    load.startedAtMs = 1;
+    load.isGroupOpen = true;
+    m_directory.onLoadReport(load, m_now);
+    const auto sendTwice = [&] {
+        for (int i = 0; i < 2; ++i) {
+            if (!m_directory.choose(coldPool, {}, m_now))
+                return false;
+            m_directory.onAttemptStarted(runner_id("1"), m_now);
+        }
+        return true;
+    };
+    m_now += seconds(5);
+    EXPECT_FALSE(sendTwice());
+    m_now += seconds(6);
+    EXPECT_TRUE(sendTwice());
+}
+
 TEST_F(warm_up_choice, poolWithoutColdRate_neverLimited)
 {
     m_directory.setWarmUp(coldPool, std::nullopt, m_now);
