State what the rate of cold runners does not cover, and name its parts

The share of an entry that does not know the others, and the time over which requests to a cold runner are counted, have names that say so.

--- a/serving/runner_directory.cpp
+++ b/serving/runner_directory.cpp
@@ -52,7 +52,7 @@
 constexpr double defaultServiceMs = 2000;
 
 // What a cold runner bears is counted in windows of a second, here with a margin for timers that fire late.
-constexpr duration warmUpWindow = std::chrono::milliseconds(1050);
+constexpr duration coldRateWindow = std::chrono::milliseconds(1050);
 
 // The list shows within this time that a process has started again.
 constexpr duration restartListedTime = std::chrono::seconds(10);
@@ -115,7 +115,7 @@
         if (record.limit.lastSentAt() && !known.contains(id))
             m_lastSentToRemoved[id] = *record.limit.lastSentAt();
     }
-    std::erase_if(m_lastSentToRemoved, [&](const auto& entry) { return now - entry.second > warmUpWindow || known.contains(entry.first); });
+    std::erase_if(m_lastSentToRemoved, [&](const auto& entry) { return now - entry.second > coldRateWindow || known.contains(entry.first); });
 }
 
 void runner_directory::setFollowed(const std::unordered_set<std::string>& addresses)
@@ -552,7 +552,7 @@
 
 void runner_directory::setProcessStart(time_point at)
 {
-    m_warmUpStart = at + warmUpWindow;
+    m_warmUpStart = at + coldRateWindow;
 }
 
 void runner_directory::setWarmUpEntries(std::vector<std::string> addresses, bool isComplete)
@@ -572,7 +572,7 @@
         return;
     record.limit.setWarmUpStart(m_warmUpStart);
     const std::size_t position = followerPosition(record.listing.address, m_self, m_warmUpEntries);
-    record.limit.setWarmUpShare(m_areWarmUpEntriesComplete ? warmUpShare(*limit, position, m_warmUpEntries.size()) : carefulWarmUpShare(*limit));
+    record.limit.setWarmUpShare(m_areWarmUpEntriesComplete ? warmUpShare(*limit, position, m_warmUpEntries.size()) : warmUpShareOfUnsettledEntry(*limit));
 }
 
 void runner_directory::beginWarmUp(runner_record& record, time_point now) const
--- a/serving/runner_limit.h
+++ b/serving/runner_limit.h
@@ -15,7 +15,8 @@
 //
 // All entries together stay within a named limit: a few of them use the runner, more with a higher limit, each with an equal part and
 // hardly saving up for a burst. While the runner is cold, each entry sends evenly spaced requests. Handles runners that come back cold
-// all at once, and entries that have just started. Pure state machine.
+// all at once, and entries that have just started. That a runner is cold is known from its start, from the list and from its responses, but
+// not from its health answers. Pure state machine.
 class runner_limit {
 public:
     // An answer to this entry named this limit, or none.
--- a/serving/warm_up_limit.cpp
+++ b/serving/warm_up_limit.cpp
@@ -29,7 +29,7 @@
     return std::min(limit.requestsPerSecond / users, wholeRequests - roundingMargin);
 }
 
-double carefulWarmUpShare(const warm_up_limit& limit)
+double warmUpShareOfUnsettledEntry(const warm_up_limit& limit)
 {
     return warmUpShare(limit, 0, static_cast<std::size_t>(sharedPerSecond(limit)));
 }
--- a/serving/warm_up_limit.h
+++ b/serving/warm_up_limit.h
@@ -7,7 +7,7 @@
 namespace sardinelb {
 
 // What a runner takes from all entries together while it is cold: for a while after its start, or after it has said so. Entries that do
-// not know how many they are keep to it if they are at most `maxPerSecond`, and at most 64.
+// not know how many they are keep to it if there are at most `maxPerSecond` of them.
 struct warm_up_limit {
     // How long a runner is cold after its start.
     duration time {};
@@ -23,6 +23,6 @@
 double warmUpShare(const warm_up_limit&, std::size_t position, std::size_t entryCount);
 
 // The share of an entry that doesn't know how many others there are: of as many as the limit allows.
-double carefulWarmUpShare(const warm_up_limit&);
+double warmUpShareOfUnsettledEntry(const warm_up_limit&);
 
 }
