--- a/expert_map/map_switch.cpp
+++ b/expert_map/map_switch.cpp
@@ -158,8 +158,8 @@
 
 std::optional<step_number> map_switch::heldStep() const
 {
-    const auto hold = currentHold();
-    return hold ? std::optional(hold->step) : std::nullopt;
+    const auto current = currentHold();
+    return current ? std::optional(current->step) : std::nullopt;
 }
 
 bool map_switch::areAllPrepared(map_version version) const
--- a/serving/runner_directory.cpp
+++ b/serving/runner_directory.cpp
@@ -44,7 +44,13 @@
 constexpr double defaultServiceMs = 2000;
 
 // What a cold runner bears is counted in windows of a second, here with a margin for timers that fire late.
-constexpr duration warmUpWindow = std::chrono::milliseconds(1050);
+constexpr duration coldRateWindow = std::chrono::milliseconds(1050);
+
+// The list shows within this time that a process has started again.
+constexpr duration restartListedTime = std::chrono::seconds(10);
+
+// A runner that is cold for longer says so again. Bounds the effect of a wrong statement.
+constexpr duration maxColdTime = std::chrono::minutes(1);
 
 // A runner with this many times the requests that it runs at once is far beyond what entries send it on purpose.
 constexpr std::uint32_t overrunFactor = 3;
@@ -74,23 +80,37 @@
             && before->second.listing.address == listing.address;
         if (isSameProcess)
             record = before->second;
-        else if (before != m_runners.end())
+        else if (before != m_runners.end()) {
             record.inFlight = before->second.inFlight;
+            record.limit.setLastSentAt(before->second.limit.lastSentAt());
+        } else if (const auto removed = m_lastSentToRemoved.find(listing.id); removed != m_lastSentToRemoved.end())
+            record.limit.setLastSentAt(removed->second);
         const bool isNewReport = !isSameProcess || record.listing.reportNumber != listing.reportNumber;
         record.listing = listing;
         if (!isSameProcess)
             beginWarmUp(record, now);
-        if (isNewReport && listing.coldTimeLeft > duration {} && warmUpOf(listing.pool))
-            record.limit.onCold(now + listing.coldTimeLeft);
+        const warm_up_limit* warmUp = warmUpOf(listing.pool);
+        if (isNewReport && listing.coldTimeLeft > duration {} && warmUp)
+            record.limit.onCold(coldUntil({ processOf(listing), listing.coldTimeLeft }, *warmUp, now));
         record.isFollowed = !engineOf(listing.pool) || !m_followed || m_followed->contains(listing.address);
         m_byPool[listing.pool].push_back(listing.id);
         m_byProcess[processOf(listing)] = listing.id;
         known.emplace(listing.id, std::move(record));
     }
+    rememberRemoved(known, now);
     m_runners = std::move(known);
     updateFollowerShares();
 }
 
+void runner_directory::rememberRemoved(const std::unordered_map<runner_id, runner_record>& known, time_point now)
+{
+    for (const auto& [id, record] : m_runners) {
+        if (record.limit.lastSentAt() && !known.contains(id))
+            m_lastSentToRemoved[id] = *record.limit.lastSentAt();
+    }
+    std::erase_if(m_lastSentToRemoved, [&](const auto& entry) { return now - entry.second > coldRateWindow || known.contains(entry.first); });
+}
+
 void runner_directory::setFollowed(const std::unordered_set<std::string>& addresses)
 {
     m_followed = addresses;
@@ -474,6 +494,13 @@
 {
     onAttemptAbandoned(id);
     recordFailure(id, failure, now);
+    runner_record* record = findRecord(id);
+    // A single lost response does not show that the runner has ended.
+    const bool mayHaveEnded = failure == attempt_failure::NotConnected || failure == attempt_failure::OutcomeUnknown;
+    const bool isSingleLoss = failure == attempt_failure::OutcomeUnknown && record && record->consecutiveFailures <= 1;
+    // The runner may start again under its id before the list shows it.
+    if (record && mayHaveEnded && !isSingleLoss)
+        beginWarmUp(*record, now);
 }
 
 void runner_directory::onSilence(const runner_id& id, time_point now)
@@ -500,8 +527,6 @@
         return;
     }
     const auto doubling = std::min<std::uint32_t>(record->consecutiveFailures++, 4);
-    // The runner may start again under its id before the list shows it.
-    beginWarmUp(*record, now);
     // A single lost response does not show that a runner is down; a refused connection does.
     if (failure == attempt_failure::OutcomeUnknown && doubling == 0)
         return;
@@ -527,12 +552,14 @@
         // Runners that were listed before the first configuration have not been taken for cold.
         if (limit && now - record.listedAt < limit->time)
             record.limit.extendWarmUp(record.listedAt + limit->time);
+        if (!limit)
+            record.limit.endWarmUp();
     }
 }
 
 void runner_directory::setProcessStart(time_point at)
 {
-    m_warmUpStart = at + warmUpWindow;
+    m_warmUpStart = at + coldRateWindow;
 }
 
 void runner_directory::setWarmUpEntries(std::vector<std::string> addresses, bool isComplete)
@@ -552,7 +579,7 @@
         return;
     record.limit.setWarmUpStart(m_warmUpStart);
     const std::size_t position = followerPosition(record.listing.address, m_self, m_warmUpEntries);
-    record.limit.setWarmUpShare(m_areWarmUpEntriesComplete ? warmUpShare(*limit, position, m_warmUpEntries.size()) : carefulWarmUpShare(*limit));
+    record.limit.setWarmUpShare(m_areWarmUpEntriesComplete ? warmUpShare(*limit, position, m_warmUpEntries.size()) : warmUpShareOfUnsettledEntry(*limit));
 }
 
 void runner_directory::beginWarmUp(runner_record& record, time_point now) const
@@ -564,13 +591,30 @@
     record.limit.extendWarmUp(now + limit->time);
 }
 
+time_point runner_directory::coldUntil(const cold_runner& cold, const warm_up_limit& limit, time_point now)
+{
+    return now + std::min(cold.timeLeft, std::max(maxColdTime, limit.time));
+}
+
 bool runner_directory::onCold(const cold_runner& cold, time_point now)
 {
     runner_record* record = findRecord(cold.process);
-    if (!record || !warmUpOf(record->listing.pool))
+    const warm_up_limit* limit = record ? warmUpOf(record->listing.pool) : nullptr;
+    if (!limit)
+        return false;
+    const bool isNews = !record->limit.isWarmingUp(now);
+    record->limit.onCold(coldUntil(cold, *limit, now));
+    return isNews;
+}
+
+bool runner_directory::onColdUpdate(const cold_runner& cold, time_point now)
+{
+    runner_record* record = findRecord(cold.process);
+    const warm_up_limit* limit = record ? warmUpOf(record->listing.pool) : nullptr;
+    if (!limit)
         return false;
     const bool isNews = !record->limit.isWarmingUp(now);
-    record->limit.onCold(now + cold.timeLeft);
+    record->limit.onColdUpdate(coldUntil(cold, *limit, now));
     return isNews;
 }
 
@@ -587,7 +631,7 @@
 bool runner_directory::isCold(const runner_record& record, time_point now) const
 {
     const warm_up_limit* limit = warmUpOf(record.listing.pool);
-    return limit && (now - record.listedAt < limit->time || record.limit.coldTimeLeft(now));
+    return limit && (now - record.listedAt < limit->time || record.limit.isCold(now));
 }
 
 bool runner_directory::isOverrun(const runner_record& record, time_point now) const
@@ -604,8 +648,11 @@
 std::optional<std::uint32_t> runner_directory::sendable(const runner_record& record, time_point now) const
 {
     // A process that has started again under its id may not be listed yet; its agent shows that the known one is still there.
-    const bool isUnheard = engineOf(record.listing.pool) && warmUpOf(record.listing.pool) && !record.hasRecentLoad(now);
-    return isUnheard ? std::optional(record.limit.sendableWhenCold(now)) : record.limit.sendable(now);
+    // Without an agent, the list does so after some time, but runners that are not followed never send reports.
+    const time_point lastShownAt = record.load ? std::max(record.load->at, record.listedAt) : record.listedAt;
+    const bool isReportMissing = engineOf(record.listing.pool) && warmUpOf(record.listing.pool) && !record.hasRecentLoad(now);
+    const bool mayHaveRestarted = isReportMissing && (!record.isFollowed || now - lastShownAt < restartListedTime);
+    return mayHaveRestarted ? std::optional(record.limit.sendableWhenCold(now)) : record.limit.sendable(now);
 }
 
 void runner_directory::setEvacuatedZones(std::unordered_set<availability_zone_id> zones, time_point now)
