Evict only what makes room, and never idle connections for memory

A request that found no memory evicted kept-alive connections, which free next to nothing, and requests of others even when it was refused all the same. A new connection was admitted without memory for it and then ended the largest unfinished request; it was refused although a stalled request had just given way to it. Bytes read ahead evicted others, and without memory no read was pending, so a caller that left was not noticed. Buffers of idle connections were not counted.

Reserving now sums what can be freed before it evicts anything, and idle connections give way only to new ones. admit() requires the memory of a connection, does not break off responses, and leaves out a few evicted connections that still send their last response. Reading ahead only tests for free room, and a small read stays pending without it. Buffers over 4 KiB are freed when they are empty, and 16 KiB are counted for each connection. Collecting a small response always succeeds, and the largest one may exceed the limit by an eighth.

Five of the new tests of memory_budget and two of server_connection fail with the code before.

--- a/relay/http_server_connection.cpp
+++ b/relay/http_server_connection.cpp
@@ -35,14 +35,11 @@
 // The connection is closed when the caller reads nothing for this time.
 constexpr std::chrono::seconds writeTimeout { 10 };
 
-// A connection without requests: its buffers, the socket and the bookkeeping of the event loop.
-constexpr std::size_t connectionBytes = 8192;
-
 // Memory of a parsed head in proportion to its bytes. A field of five bytes takes two allocations and a node in a tree.
 constexpr std::size_t headMemoryFactor = 16;
 
-// Buffers that are larger are freed between two responses.
-constexpr std::size_t keptBufferBytes = 16384;
+// Buffers that are larger are freed once they are empty. Smaller ones are part of the memory of a connection.
+constexpr std::size_t keptBufferBytes = 4096;
 
 // Room for the field that states the length of a response.
 constexpr std::size_t lengthFieldBytes = 48;
@@ -50,6 +47,9 @@
 // From when on a stream pauses for a caller that reads slowly, without a budget.
 constexpr std::size_t defaultMaxUnsentBytes = 262144;
 
+// A response up to this length is always collected, because the work of its runner would be lost.
+constexpr std::size_t smallAnswerBytes = 131072;
+
 constexpr const char* noMemoryReason = "no memory is free for the request";
 
 constexpr int requestTimeoutStatus = 408;
@@ -131,6 +131,8 @@
 
     void start(const std::shared_ptr<http_server_connection>&);
     void awaitRequest(const std::shared_ptr<http_server_connection>&);
+    // Most bytes that the next read may take. Bytes of later requests wait in the socket if there is no memory for them.
+    std::size_t maxReadBytes();
     void read(const std::shared_ptr<http_server_connection>&);
     void parse(const std::shared_ptr<http_server_connection>&);
     void serve(const std::shared_ptr<http_server_connection>&);
@@ -149,6 +151,7 @@
     bool reserve(memory_use, std::size_t bytes);
     // Reserves memory for parsing what has been read.
     bool reserveForInput();
+    bool reserveAnswer(std::size_t bytes);
     void chargeUnsent();
     void releaseRequest();
     void onEvicted(const std::shared_ptr<http_server_connection>&, eviction_reason);
@@ -179,7 +182,7 @@
     },
         steadyTime());
     isInBudget = true;
-    budget->charge(account, memory_use::Connection, connectionBytes, steadyTime());
+    budget->charge(account, memory_use::Connection, memory_budget::connectionBytes, steadyTime());
 }
 
 void http_server_connection::implementation::closeAccount()
@@ -210,6 +213,20 @@
     return reserve(memory_use::Body, grownCapacity(body.capacity(), body.size() + input.size()));
 }
 
+bool http_server_connection::implementation::reserveAnswer(std::size_t bytes)
+{
+    if (!isInBudget)
+        return true;
+    const time_point now = steadyTime();
+    if (bytes > smallAnswerBytes && budget->reserve(account, memory_use::Answer, bytes, now))
+        return true;
+    // The largest one may exceed the limit, because otherwise responses that wait for each other's memory would never end.
+    if (bytes > smallAnswerBytes && !budget->mayOverdraw(account, memory_use::Answer, bytes))
+        return false;
+    budget->charge(account, memory_use::Answer, bytes, now);
+    return true;
+}
+
 void http_server_connection::implementation::chargeUnsent()
 {
     if (isInBudget)
@@ -297,16 +314,28 @@
         budget->recordProgress(account, bodyProgressAt);
 }
 
+std::size_t http_server_connection::implementation::maxReadBytes()
+{
+    const bool isServing = currentPhase == phase::Serving || currentPhase == phase::Flushing;
+    if (!isInBudget || !isServing || input.size() == 0)
+        return readSizeBytes;
+    if (budget->tryReserve(account, memory_use::Head, headBytes * headMemoryFactor + input.capacity() + readSizeBytes))
+        return readSizeBytes;
+    // A caller that leaves is noticed only while a read is pending.
+    return keptBufferBytes - std::min(keptBufferBytes, input.size());
+}
+
 void http_server_connection::implementation::read(const std::shared_ptr<http_server_connection>& self)
 {
     if (isReading || currentPhase == phase::Closed || input.size() > maxReadAheadBytes + limits.maxHeaderBytes)
         return;
-    // Bytes of later requests wait in the socket if there is no memory for them.
-    const bool isServing = currentPhase == phase::Serving || currentPhase == phase::Flushing;
-    if (isServing && input.size() > 0 && !reserve(memory_use::Head, headBytes * headMemoryFactor + input.capacity() + readSizeBytes))
+    if (input.size() == 0 && input.capacity() > keptBufferBytes)
+        input.shrink_to_fit();
+    const std::size_t maxBytes = maxReadBytes();
+    if (maxBytes == 0)
         return;
     isReading = true;
-    socket.async_read_some(asio::buffer(received), [self](const error_code& error, std::size_t count) {
+    socket.async_read_some(asio::buffer(received, maxBytes), [self](const error_code& error, std::size_t count) {
         implementation& connection = *self->m_implementation;
         connection.isReading = false;
         if (connection.currentPhase == phase::Closed)
@@ -658,7 +687,7 @@
 
 bool http_server_connection::reserveAnswer(std::size_t bytes)
 {
-    return m_implementation->reserve(memory_use::Answer, bytes);
+    return m_implementation->reserveAnswer(bytes);
 }
 
 std::size_t http_server_connection::unsentBytes() const
--- a/relay/http_server_connection.h
+++ b/relay/http_server_connection.h
@@ -65,7 +65,7 @@
     std::size_t maxUnsentBytes() const;
 
     // Reserves memory for a response that is collected before it is sent. Replaces the amount of the call before. Returns false if
-    // there is none.
+    // there is none. A small response always has some, and the largest one may exceed the limit a little.
     bool reserveAnswer(std::size_t bytes);
 
 private:
--- a/relay/memory_budget.cpp
+++ b/relay/memory_budget.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-// A request or an idle connection without progress for this long gives way first.
+// A request without progress for this long gives way first. An idle connection may be replaced by a new one after this time.
 constexpr duration receiveStallTime = std::chrono::seconds(1);
 
 // The same for a response that its caller does not read.
@@ -23,6 +23,9 @@
 constexpr std::size_t minUnsentBytes = 8192;
 constexpr std::size_t maxUnsentBytesOfOne = 262144;
 
+// Part of the limit that one connection may exceed it by.
+constexpr std::size_t overdraftDivisor = 8;
+
 constexpr std::size_t memoryShareDivisor = 2;
 // Room for one request and one response at the limits.
 constexpr std::size_t minCallerBytes = 33554432;
@@ -32,6 +35,9 @@
 constexpr std::size_t otherSocketsDivisor = 4;
 constexpr std::size_t minConnections = 16;
 
+// Part of the connections that may be open beyond the limit while they send their last response.
+constexpr std::size_t closingShareDivisor = 32;
+
 }
 
 memory_limits callerLimitsFor(std::size_t machineBytes, std::size_t machineDescriptors)
@@ -50,25 +56,46 @@
 {
 }
 
+std::size_t memory_budget::connection::evictableBytes() const
+{
+    return totalBytes() - bytes[static_cast<std::size_t>(memory_use::Connection)];
+}
+
+bool memory_budget::isRoomForConnection() const
+{
+    const std::size_t uncounted = std::min(m_evictedConnections, m_limits.connections / closingShareDivisor + 1);
+    return m_connections.size() - uncounted < m_limits.connections && m_usedBytes + connectionBytes <= m_limits.bytes;
+}
+
 bool memory_budget::admit(time_point now)
 {
-    if (m_connections.size() < m_limits.connections)
+    if (isRoomForConnection())
         return true;
+    const handle replaced = findReplaceable(now);
+    if (replaced == m_connections.end())
+        return false;
+    const bool isIdle = replaced->currentStage == stage::Idle;
+    const std::size_t freedBytes = isIdle ? replaced->totalBytes() : replaced->evictableBytes();
+    if (m_usedBytes + connectionBytes > m_limits.bytes + freedBytes)
+        return false;
+    evict(replaced, isIdle ? eviction_reason::Idle : eviction_reason::Stalled);
+    return isRoomForConnection();
+}
+
+memory_budget::handle memory_budget::findReplaceable(time_point now)
+{
     // The one that has been idle for longest is first, and idle ones go before stalled requests.
-    handle chosen = m_connections.end();
+    handle longestIdle = m_connections.end();
+    handle largestStalled = m_connections.end();
     for (handle one = m_connections.begin(); one != m_connections.end(); ++one) {
-        const bool isCandidate = !one->isEvicted && one->currentStage == stage::Idle && now - one->progressAt >= receiveStallTime;
-        if (isCandidate && (chosen == m_connections.end() || one->progressAt < chosen->progressAt))
-            chosen = one;
-    }
-    eviction_reason reason = eviction_reason::Idle;
-    if (chosen == m_connections.end()) {
-        chosen = findStalled(m_connections.end(), now);
-        reason = eviction_reason::Stalled;
+        if (one->isEvicted || now - one->progressAt < receiveStallTime)
+            continue;
+        if (one->currentStage == stage::Idle && (longestIdle == m_connections.end() || one->progressAt < longestIdle->progressAt))
+            longestIdle = one;
+        if (one->currentStage == stage::Receiving && (largestStalled == m_connections.end() || one->totalBytes() > largestStalled->totalBytes()))
+            largestStalled = one;
     }
-    if (chosen != m_connections.end())
-        evict(chosen, reason);
-    return m_connections.size() < m_limits.connections;
+    return longestIdle != m_connections.end() ? longestIdle : largestStalled;
 }
 
 memory_budget::handle memory_budget::open(eviction_handler onEvicted, time_point now)
@@ -83,6 +110,8 @@
 {
     for (int use = 0; use < memoryUses; ++use)
         setBytes(closed, static_cast<memory_use>(use), 0);
+    if (closed->isEvicted)
+        --m_evictedConnections;
     m_connections.erase(closed);
 }
 
@@ -103,7 +132,10 @@
     if (bytes > before) {
         const std::size_t added = bytes - before;
         const std::size_t requesterBytes = requester->totalBytes() + added;
-        while (m_usedBytes + added > limitFor(requesterBytes)) {
+        const std::size_t limit = limitFor(requesterBytes);
+        if (m_usedBytes + added > limit && !canFree(m_usedBytes + added - limit, requester, requesterBytes, now))
+            return false;
+        while (m_usedBytes + added > limit) {
             if (!evictOne(requester, requesterBytes, now))
                 return false;
         }
@@ -112,6 +144,16 @@
     return true;
 }
 
+bool memory_budget::tryReserve(handle requester, memory_use use, std::size_t bytes)
+{
+    const std::size_t before = requester->bytes[static_cast<std::size_t>(use)];
+    const std::size_t limit = limitFor(requester->totalBytes() - before + bytes);
+    if (bytes > before && m_usedBytes - before + bytes > limit)
+        return false;
+    setBytes(requester, use, bytes);
+    return true;
+}
+
 void memory_budget::charge(handle user, memory_use use, std::size_t bytes, time_point now)
 {
     const bool isGrowing = bytes > user->bytes[static_cast<std::size_t>(use)];
@@ -122,25 +164,57 @@
     }
 }
 
+bool memory_budget::mayOverdraw(handle user, memory_use use, std::size_t bytes) const
+{
+    const auto index = static_cast<std::size_t>(use);
+    if (m_usedBytes - user->bytes[index] + bytes > m_limits.bytes + m_limits.bytes / overdraftDivisor)
+        return false;
+    // Finds the first one of equal ones.
+    const auto largest = std::max_element(m_connections.begin(), m_connections.end(), [index](const connection& left, const connection& right) { return left.bytes[index] < right.bytes[index]; });
+    return largest == connection_list::const_iterator(user);
+}
+
 std::size_t memory_budget::maxUnsentBytes() const
 {
     const std::size_t free = m_limits.bytes - std::min(m_limits.bytes, m_usedBytes);
     return std::clamp(free / unsentShareDivisor, minUnsentBytes, maxUnsentBytesOfOne);
 }
 
-std::size_t memory_budget::limitFor(std::size_t connectionBytes) const
+std::size_t memory_budget::limitFor(std::size_t requesterBytes) const
+{
+    return requesterBytes > smallConnectionBytes ? m_limits.bytes - m_limits.bytes / smallShareDivisor : m_limits.bytes;
+}
+
+bool memory_budget::isStalled(const connection& one, time_point now)
+{
+    if (one.currentStage == stage::Receiving)
+        return now - one.progressAt >= receiveStallTime;
+    return one.currentStage == stage::Sending && now - one.progressAt >= sendStallTime;
+}
+
+bool memory_budget::mayGiveWay(const connection& one, handle requester, std::size_t requesterBytes, time_point now)
+{
+    if (&one == &*requester || one.isEvicted || one.evictableBytes() == 0)
+        return false;
+    const bool isRequesterSmaller = requester->currentStage != stage::Receiving || requesterBytes < one.totalBytes();
+    return isStalled(one, now) || (one.currentStage == stage::Receiving && isRequesterSmaller);
+}
+
+bool memory_budget::canFree(std::size_t bytes, handle requester, std::size_t requesterBytes, time_point now) const
 {
-    return connectionBytes > smallConnectionBytes ? m_limits.bytes - m_limits.bytes / smallShareDivisor : m_limits.bytes;
+    std::size_t freeable = 0;
+    for (const connection& one : m_connections) {
+        if (mayGiveWay(one, requester, requesterBytes, now))
+            freeable += one.evictableBytes();
+    }
+    return freeable >= bytes;
 }
 
 memory_budget::handle memory_budget::findStalled(handle requester, time_point now)
 {
     handle chosen = m_connections.end();
     for (handle one = m_connections.begin(); one != m_connections.end(); ++one) {
-        if (one == requester || one->isEvicted || one->currentStage == stage::Serving)
-            continue;
-        const duration stallTime = one->currentStage == stage::Sending ? sendStallTime : receiveStallTime;
-        if (now - one->progressAt < stallTime)
+        if (one == requester || one->isEvicted || one->evictableBytes() == 0 || !isStalled(*one, now))
             continue;
         if (chosen == m_connections.end() || one->totalBytes() > chosen->totalBytes())
             chosen = one;
@@ -152,7 +226,7 @@
 {
     handle chosen = m_connections.end();
     for (handle one = m_connections.begin(); one != m_connections.end(); ++one) {
-        if (one == requester || one->isEvicted || one->currentStage != stage::Receiving)
+        if (one == requester || one->isEvicted || one->evictableBytes() == 0 || one->currentStage != stage::Receiving)
             continue;
         if (chosen == m_connections.end() || one->totalBytes() >= chosen->totalBytes())
             chosen = one;
@@ -178,6 +252,7 @@
 void memory_budget::evict(handle evicted, eviction_reason reason)
 {
     evicted->isEvicted = true;
+    ++m_evictedConnections;
     for (int use = 0; use < memoryUses; ++use) {
         if (static_cast<memory_use>(use) != memory_use::Connection)
             setBytes(evicted, static_cast<memory_use>(use), 0);
--- a/tests/fleet/memory_budget_test.cpp
+++ b/tests/fleet/memory_budget_test.cpp
@@ -125,6 +125,77 @@
     EXPECT_EQ(m_evicted, (std::vector<std::string> { "oldest idle" }));
 }
 
+// Guards against a large body that closes the kept-alive connections of others, which frees next to nothing.
+TEST_F(memory_budget_order, memoryWanted_idleConnectionsStay)
+{
+    for (const char* name : { "idle", "other idle" })
+        m_budget.charge(open(name), memory_use::Connection, memory_budget::connectionBytes, m_now);
+    m_now += std::chrono::seconds(2);
+    const auto large = open("large");
+    m_budget.enter(large, stage::Receiving, m_now);
+    EXPECT_FALSE(m_budget.reserve(large, memory_use::Body, 790 * kibibyte, m_now));
+    EXPECT_TRUE(m_evicted.empty());
+}
+
+// Guards against ending requests for one that is refused all the same.
+TEST_F(memory_budget_order, evictionsNotEnough_nobodyGivesWay)
+{
+    receive("small", 100 * kibibyte);
+    const auto served = receive("served", 500 * kibibyte);
+    m_budget.enter(served, stage::Serving, m_now);
+    m_now += std::chrono::seconds(2);
+    const auto next = open("next");
+    m_budget.enter(next, stage::Receiving, m_now);
+    EXPECT_FALSE(m_budget.reserve(next, memory_use::Body, 400 * kibibyte, m_now));
+    EXPECT_TRUE(m_evicted.empty());
+}
+
+// Guards against bytes read ahead that end the requests of others.
+TEST_F(memory_budget_order, tryReserve_noRoom_nobodyGivesWay)
+{
+    receive("other", 600 * kibibyte);
+    const auto reader = open("reader");
+    m_budget.enter(reader, stage::Serving, m_now);
+    EXPECT_TRUE(m_budget.tryReserve(reader, memory_use::Head, 100 * kibibyte));
+    EXPECT_FALSE(m_budget.tryReserve(reader, memory_use::Head, 300 * kibibyte));
+    EXPECT_EQ(m_budget.usedBytes(memory_use::Head), 100 * kibibyte);
+    EXPECT_TRUE(m_evicted.empty());
+}
+
+// Guards against a connection that is accepted without memory for it and then ends a request.
+TEST_F(memory_budget_order, memoryUsedUp_newConnectionRefused)
+{
+    const auto receiving = receive("receiving", 100 * kibibyte);
+    m_budget.charge(receiving, memory_use::Connection, 695 * kibibyte, m_now);
+    EXPECT_FALSE(m_budget.admit(m_now));
+    EXPECT_TRUE(m_evicted.empty());
+    m_budget.charge(receiving, memory_use::Body, 0, m_now);
+    EXPECT_TRUE(m_budget.admit(m_now));
+}
+
+// Guards against a newcomer that is refused though a connection gives way to it, only because that one still sends its last response.
+TEST_F(memory_budget_order, stalledRequestReplaced_newConnectionAdmitted)
+{
+    for (const char* name : { "first", "second", "third" })
+        m_budget.enter(receive(name, kibibyte), stage::Serving, m_now);
+    receive("stalled", kibibyte);
+    m_now += std::chrono::seconds(2);
+    EXPECT_TRUE(m_budget.admit(m_now));
+    EXPECT_EQ(m_evicted, (std::vector<std::string> { "stalled stalled" }));
+    open("newcomer");
+    EXPECT_FALSE(m_budget.admit(m_now));
+}
+
+// Guards against breaking off a response for the sake of a new connection.
+TEST_F(memory_budget_order, connectionsUsedUp_responsesUnread_newConnectionRefused)
+{
+    for (const char* name : { "first", "second", "third", "fourth" })
+        m_budget.enter(receive(name, kibibyte), stage::Sending, m_now);
+    m_now += std::chrono::seconds(5);
+    EXPECT_FALSE(m_budget.admit(m_now));
+    EXPECT_TRUE(m_evicted.empty());
+}
+
 // Guards against a slow reader that may keep as much as if it were the only one.
 TEST_F(memory_budget_order, memoryFillsUp_slowReadersKeepLess)
 {
--- a/tests/fleet/server_connection_test.cpp
+++ b/tests/fleet/server_connection_test.cpp
@@ -159,6 +159,60 @@
     EXPECT_EQ(budget->usedBytes(memory_use::Body), 0U);
 }
 
+// Guards against a caller whose departure is not noticed because bytes of its next request wait in the socket.
+TEST_F(server_connection, memoryUsedUp_callerLeavesDuringResponse_noticed)
+{
+    const auto budget = std::make_shared<memory_budget>(memory_limits { 100000, 10 });
+    const auto other = budget->open([](eviction_reason) {}, time_point {});
+    budget->enter(other, memory_budget::stage::Serving, time_point {});
+    bool hasLeft = false;
+    std::shared_ptr<http_server_connection> served;
+    listen([&](const std::shared_ptr<http_server_connection>& caller, const http_request_message&) {
+        served = caller;
+        caller->setDisconnectHandler([&] { hasLeft = true; });
+        budget->charge(other, memory_use::Answer, 100000, time_point {});
+    });
+    m_listener->setMemoryBudget(budget);
+    runCaller([&](raw_connection& connection) {
+        connection.send(request("/"));
+        std::this_thread::sleep_for(milliseconds(50));
+        connection.send("GET /next");
+        std::this_thread::sleep_for(milliseconds(50));
+    });
+    const auto end = std::chrono::steady_clock::now() + seconds(2);
+    while (!hasLeft && std::chrono::steady_clock::now() < end)
+        m_context.run_one_for(milliseconds(10));
+    EXPECT_TRUE(hasLeft);
+}
+
+// Guards against responses that are cut because bodies and other responses use the memory, and against large ones that wait for each
+// other without end.
+TEST_F(server_connection, memoryUsedUp_smallAndLargestResponseCollected)
+{
+    static constexpr std::size_t mebibyte = 1048576;
+    const auto budget = std::make_shared<memory_budget>(memory_limits { mebibyte, 10 });
+    const auto other = budget->open([](eviction_reason) {}, time_point {});
+    budget->enter(other, memory_budget::stage::Serving, time_point {});
+    std::vector<bool> isReserved;
+    listen([&](const std::shared_ptr<http_server_connection>& caller, const http_request_message&) {
+        budget->charge(other, memory_use::Answer, mebibyte / 2, time_point {});
+        budget->charge(other, memory_use::Body, mebibyte / 2, time_point {});
+        isReserved.push_back(caller->reserveAnswer(mebibyte / 16));
+        isReserved.push_back(caller->reserveAnswer(mebibyte / 4));
+        budget->charge(other, memory_use::Answer, 0, time_point {});
+        budget->charge(other, memory_use::Body, mebibyte * 13 / 16, time_point {});
+        isReserved.push_back(caller->reserveAnswer(mebibyte / 4));
+        isReserved.push_back(caller->reserveAnswer(mebibyte / 2));
+        caller->respond(200, "", "");
+    });
+    m_listener->setMemoryBudget(budget);
+    runCaller([&](raw_connection& connection) {
+        connection.send(request("/"));
+        EXPECT_EQ(connection.receiveUntil("\r\n"), "HTTP/1.1 200 OK\r\n");
+    });
+    EXPECT_EQ(isReserved, (std::vector<bool> { true, false, true, false }));
+}
+
 // Guards against a second head in the middle of a response.
 TEST_F(server_connection, respond_streamOpen_connectionClosed)
 {
