Wait for memory in place of cutting responses of requests that have run

A collected response that found no memory became a 502, whatever its length, and its runner was held to have failed; an idempotent request ran twice. The runner of a collected response is now paused and read again once there is memory.

largeResponses_moreThanTheMemory_allComplete fails with the code before (502).

--- a/fleet/request_relay.h
+++ b/fleet/request_relay.h
@@ -69,8 +69,12 @@
     void forwardEvents(const std::string&);
     void onExchangeEnd(runner_exchange::result);
     void appendToBody(std::string_view);
-    // Counts the buffered part of the response. Returns false if it is too long to buffer, or if there is no memory for it.
+    // Counts the buffered part of the response. Returns false if it is too long to buffer.
     bool updateBufferedBytes();
+    // Returns false if there is no memory for the buffered part of the response.
+    bool reserveBufferedBytes();
+    // Ends the attempt without holding that against its runner.
+    void endForLackOfMemory();
     static bool isEventTooLong(const runner_attempt&);
     // Whether the stream of a response that is complete by its framing ended inside an event or before the first one.
     static bool hasStreamEndedEarly(const runner_attempt&, runner_exchange::result);
--- a/fleet/request_relay_response.cpp
+++ b/fleet/request_relay_response.cpp
@@ -97,8 +97,28 @@
         onEvents(part);
     else
         appendToBody(part);
-    if (m_attempt.exchange && !updateBufferedBytes())
+    if (!m_attempt.exchange)
+        return;
+    if (!updateBufferedBytes()) {
         onAttemptFailed(attempt_failure::OutcomeUnknown, "response is too long to buffer");
+        return;
+    }
+    if (reserveBufferedBytes())
+        return;
+    if (m_attempt.isRelayingStream) {
+        endForLackOfMemory();
+        return;
+    }
+    m_attempt.exchange->pause();
+    scheduleBacklogCheck();
+}
+
+void request_relay::endForLackOfMemory()
+{
+    cancelExchange();
+    dropResponse();
+    m_context.runners().onAttemptAbandoned(m_attempt.runner);
+    retryOrFail(attempt_failure::OutcomeUnknown, "no memory is free for the event", false);
 }
 
 void request_relay::appendToBody(std::string_view part)
@@ -119,7 +139,14 @@
     m_bufferedBytes = allBytes;
     if (bytes > (m_attempt.isRelayingStream ? maxEventBytes : maxBodyBytes) || (isGrowing && total > maxBufferedResponseBytes))
         return false;
-    return m_caller->reserveAnswer(allBytes * bufferedMemoryFactor) || !isGrowing;
+    if (!isGrowing)
+        reserveBufferedBytes();
+    return true;
+}
+
+bool request_relay::reserveBufferedBytes()
+{
+    return m_caller->reserveAnswer(m_bufferedBytes * bufferedMemoryFactor);
 }
 
 bool request_relay::isEventTooLong(const runner_attempt& attempt)
@@ -167,11 +194,13 @@
     m_silenceTimer.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
         if (error || !self->m_attempt.exchange)
             return;
-        if (self->m_caller->unsentBytes() > self->m_caller->maxUnsentBytes() / 2) {
+        if (self->m_caller->unsentBytes() > self->m_caller->maxUnsentBytes() / 2 || !self->reserveBufferedBytes()) {
             self->scheduleBacklogCheck();
             return;
         }
         self->m_attempt.exchange->resume();
+        if (!self->m_attempt.isRelayingStream)
+            return;
         self->m_attempt.lastEventAt = steadyNow();
         self->startSilenceTimer(self->m_attempt.lastEventAt);
     });
--- a/tests/fleet/entry_request_test.cpp
+++ b/tests/fleet/entry_request_test.cpp
@@ -193,6 +193,36 @@
     EXPECT_EQ(call(request("POST", "/write/x", "Authorization: Bearer k1\r\n", "p")).exchangeResult, runner_exchange::result::Broken);
 }
 
+// Guards against requests that have run and get no response because the responses to others use the memory, and against responses that
+// wait for each other's memory until their deadline.
+TEST_F(entry_request, largeResponses_moreThanTheMemory_allComplete)
+{
+    static constexpr std::size_t bodyBytes = 7340032;
+    m_settings.memoryBytes = 1;
+    m_configuration.replace(m_configuration.find("1000"), 4, "8000");
+    std::vector<std::shared_ptr<http_server_connection>> waiting;
+    addRunner("r1", [&](const std::shared_ptr<http_server_connection>& caller, const http_request_message&) {
+        waiting.push_back(caller);
+        if (waiting.size() < 3)
+            return;
+        for (const auto& one : waiting)
+            one->respond(200, "Attempt-Id: a1\r\nServer-Seal: s.1\r\n", std::string(bodyBytes, 'x'));
+    });
+    startStore();
+    startEntry();
+    std::string sent = request("POST", "/book/x", "Authorization: Bearer k1\r\n", "b");
+    sent.replace(sent.find("2000"), 4, "8000");
+    std::vector<std::shared_ptr<caller_result>> results;
+    for (int i = 0; i < 3; ++i)
+        results.push_back(startCall(m_settings.callerAddress, sent));
+    for (const auto& result : results) {
+        for (int i = 0; i < 100 && !result->isEnded; ++i)
+            runFor(milliseconds(100));
+        EXPECT_EQ(result->status, 200);
+        EXPECT_EQ(result->body.size(), bodyBytes);
+    }
+}
+
 // Guards against runners that keep working for a caller that has disconnected.
 TEST_F(entry_request, caller_disconnectsWhileRunnerWorks_runnerSeesItWithinHalfASecond)
 {
