Say in refusals for lack of memory when to return

The 503 had no Retry-After, so a caller could only guess.

memoryUsedUp_requestRejectedAndFreed fails with the code before.

--- a/relay/http_server_connection.cpp
+++ b/relay/http_server_connection.cpp
@@ -452,7 +452,7 @@
     input.shrink_to_fit();
     releaseRequest();
     callbacks->onRejected(status, why);
-    self->respond(status, "Content-Type: text/plain\r\n", why);
+    self->respond(status, status == unavailableStatus ? "Content-Type: text/plain\r\nRetry-After: 1\r\n" : "Content-Type: text/plain\r\n", why);
 }
 
 std::string http_server_connection::implementation::head(int status, std::string_view fields)
--- a/tests/fleet/server_connection_test.cpp
+++ b/tests/fleet/server_connection_test.cpp
@@ -145,7 +145,7 @@
     EXPECT_EQ(m_rejected, std::vector<int> { 408 });
 }
 
-// Guards against a refusal for lack of memory that runs the request, or that keeps what had arrived of it.
+// Guards against a refusal for lack of memory that runs the request, keeps what had arrived of it, or does not say when to return.
 TEST_F(server_connection, memoryUsedUp_requestRejectedAndFreed)
 {
     listen([](const std::shared_ptr<http_server_connection>& caller, const http_request_message&) { caller->respond(200, "", ""); });
@@ -154,6 +154,7 @@
     runCaller([](raw_connection& connection) {
         connection.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n" + std::string(90000, 'x'));
         EXPECT_EQ(connection.receiveUntil("\r\n"), "HTTP/1.1 503 Service Unavailable\r\n");
+        EXPECT_NE(connection.receiveUntil("\r\n\r\n").find("Retry-After: 1\r\n"), std::string::npos);
     });
     EXPECT_EQ(m_rejected, std::vector<int> { 503 });
     EXPECT_EQ(budget->usedBytes(memory_use::Body), 0U);
