Reject at once while all runners of a pool have asked for a pause

Cause: found in review. Pauses kept runners out of the choice only, so that callers waited for slots that the runners would not give before their deadline, and were told a time to return that counted these slots.

Change: a request whose latest start is before the end of the first pause is rejected with the time until then.

--- a/fleet/request_relay.cpp
+++ b/fleet/request_relay.cpp
@@ -145,6 +145,11 @@
     waiting.latestTimelyStart = m_arrivedAt + m_route->objective - timeToFirstByte;
     const time_point callerDisconnectsAt = isStream(m_route->retrySemantics) ? m_arrivedAt + m_route->callerIdleTimeout : m_deadline;
     waiting.latestStart = std::min(callerDisconnectsAt, m_deadline) - std::chrono::duration_cast<duration>(timeToFirstByte * timeToFirstByteMarginFactor);
+    const time_point pausedUntil = m_context.runners().pausedUntil(m_pool, now);
+    if (pausedUntil > waiting.latestStart) {
+        endUnserved("all runners have asked for a pause", pausedUntil - now);
+        return;
+    }
     if (m_context.runners().isPoolEvacuated(m_pool)) {
         endUnserved("all zones of the pool are evacuated", std::nullopt);
         return;
--- a/serving/runner_directory.cpp
+++ b/serving/runner_directory.cpp
@@ -319,6 +319,18 @@
     return now - reports.closedAt <= maxBackoff && reports.closedAt - reports.openAt > openReportLifetime;
 }
 
+time_point runner_directory::pausedUntil(const pool_id& pool, time_point now) const
+{
+    const auto members = m_byPool.find(pool);
+    std::optional<time_point> earliest;
+    for (const runner_id& id : members == m_byPool.end() ? std::vector<runner_id>() : members->second) {
+        const runner_record& record = m_runners.at(id);
+        if (isStaying(record))
+            earliest = std::min(earliest.value_or(time_point::max()), record.pausedUntil);
+    }
+    return std::max(now, earliest.value_or(now));
+}
+
 bool runner_directory::isUsable(const runner_record& record, time_point now) const
 {
     return exclusionOf(record, now) == exclusion_reason::None;
--- a/serving/runner_directory.h
+++ b/serving/runner_directory.h
@@ -94,6 +94,9 @@
     // Chooses a runner with a free slot, or nothing. Runners in `excluded` are chosen only if there is no other.
     std::optional<runner_id> choose(const pool_id&, const std::vector<runner_id>& excluded, time_point now);
 
+    // When the first runner of the pool that goes on taking requests may be sent one, as far as pauses that runners have asked for tell.
+    time_point pausedUntil(const pool_id&, time_point now) const;
+
     // Number of further requests for which choose() would find a runner.
     std::uint32_t freeSlots(const pool_id&, time_point now) const;
 
--- a/tests/fleet/runner_signals_test.cpp
+++ b/tests/fleet/runner_signals_test.cpp
@@ -144,7 +144,12 @@
     startStore();
     startEntry();
     for (int i = 0; i < 4; ++i) {
-        EXPECT_EQ(call(request("POST", "/book/x", "Authorization: Bearer k1\r\n", "b")).status, 503);
+        const caller_result result = call(request("POST", "/book/x", "Authorization: Bearer k1\r\n", "b"));
+        EXPECT_EQ(result.status, 503);
+        // The first request finds out; the others need not wait to be told.
+        if (i > 0) {
+            EXPECT_GT(std::stod(result.fields.at("Retry-After")), 20);
+        }
         runFor(milliseconds(300));
     }
     EXPECT_EQ(rejected, 1);
