Mend what a first reader of the change stumbled over

Cause: a reader who had not seen the planning found one decision that stood twice and differed (whether a response without a length is whole), a gauge that kept its value for groups that are gone, a count of evacuated zones that never fell, dead code (order_statistics::unansweredShare with its growing list, nameOf(exclusion_reason)), and names and pages that did not say what they mean.

--- a/expert_map/hold_observer.cpp
+++ b/expert_map/hold_observer.cpp
@@ -15,16 +15,16 @@
         else if (status.armed || status.map != m_hold->map)
             hold.endedBy = pass_hold::end::Switched;
         hold.held = status.receivedAt - m_hold->beganAt;
-        if (m_hold->stoodSince)
-            hold.stood = status.receivedAt - *m_hold->stoodSince;
+        if (m_hold->waitedSince)
+            hold.waited = status.receivedAt - *m_hold->waitedSince;
         ended = hold;
         m_hold.reset();
     }
     if (status.held && !m_hold)
         m_hold = current_hold { *status.held, status.epoch, status.map, status.receivedAt, std::nullopt };
-    const bool isStanding = m_hold && status.step.value() + 1 >= m_hold->step.value();
-    if (isStanding && !m_hold->stoodSince)
-        m_hold->stoodSince = status.receivedAt;
+    const bool isWaiting = m_hold && status.step.value() + 1 >= m_hold->step.value();
+    if (isWaiting && !m_hold->waitedSince)
+        m_hold->waitedSince = status.receivedAt;
     return ended;
 }
 
--- a/expert_map/hold_observer.h
+++ b/expert_map/hold_observer.h
@@ -10,7 +10,7 @@
 
 namespace sardinelb {
 
-// Follows the holds of one rank by its reports, so that an operator sees how long a group stood and for whom. Pure state
+// Follows the holds of one rank by its reports, so that an operator sees how long a group waited and for whom. Pure state
 // machine.
 class hold_observer {
 public:
@@ -26,7 +26,7 @@
         std::uint64_t epoch = 0;
         map_version map;
         time_point beganAt;
-        std::optional<time_point> stoodSince;
+        std::optional<time_point> waitedSince;
     };
 
     std::optional<current_hold> m_hold;
--- a/expert_map/map_switch.h
+++ b/expert_map/map_switch.h
@@ -32,9 +32,10 @@
 //   unarmed rank takes a prepare order. Then the armed ranks are disarmed and all ranks are made void.
 // - The pass is released when all ranks are armed, or when all are void.
 //
-// One rank, which is that of the coordinator among the first three, gets its arm order only through the agent beside the last
-// rank, its witness, and after all others, so that the time in which nobody knows its state is short. If the machine of the coordinator fails such that the rank beside it cannot be reached either, the
-// witness knows whether that rank was armed; if not, it seals that, and the rank counts as void for the held pass.
+// One rank, the witnessed one, has the number (held pass mod 3), which is the rank beside the coordinator that ordered the hold.
+// It gets its arm order after all others, and only through its witness, the agent beside the last rank. If the coordinator's
+// machine fails and the witnessed rank cannot be reached, the witness knows whether it sent that order. If it did not, it promises
+// never to send one (Seal), and the rank counts as void for the held pass.
 //
 // Both states of a rank are final for the version, so an old report that shows one is still true. A version is armed only for one
 // pass, and no coordinator process holds the same pass twice.
--- a/expert_map/order_statistics.cpp
+++ b/expert_map/order_statistics.cpp
@@ -10,9 +10,6 @@
 // A runner carries out a late order at most this long after it was sent.
 constexpr duration maxOrderDelay = std::chrono::seconds(12);
 
-// Time over which unansweredShare() counts. Disturbances of the links and runners last for some seconds.
-constexpr duration shareWindow = std::chrono::seconds(3);
-
 bool isSameOrder(const map_order& a, const map_order& b)
 {
     return a.rank == b.rank && a.action == b.action && a.epoch == b.epoch && a.version == b.version && a.step == b.step;
@@ -50,7 +47,6 @@
 void order_statistics::onResult(const map_order& order, map_order_result result, time_point now)
 {
     const bool isAnswered = result != map_order_result::Unanswered;
-    m_results.push_back({ now, isAnswered });
     const auto known = std::find_if(m_unanswered.begin(), m_unanswered.end(), [&](const unanswered_order& other) { return isSameOrder(other.order, order); });
     if (isAnswered) {
         m_events.push_back({ order.action, outcome::Answered });
@@ -84,14 +80,4 @@
     return std::exchange(m_events, {});
 }
 
-double order_statistics::unansweredShare(time_point now)
-{
-    while (!m_results.empty() && now - m_results.front().at > shareWindow)
-        m_results.pop_front();
-    if (m_results.empty())
-        return 0;
-    const auto unanswered = std::count_if(m_results.begin(), m_results.end(), [](const result_time& each) { return !each.isAnswered; });
-    return static_cast<double>(unanswered) / static_cast<double>(m_results.size());
-}
-
 }
--- a/expert_map/order_statistics.h
+++ b/expert_map/order_statistics.h
@@ -5,7 +5,6 @@
 #include "expert_map/rank_status.h"
 #include "state/time.h"
 
-#include <deque>
 #include <vector>
 
 namespace sardinelb {
@@ -35,23 +34,14 @@
     // Returns the outcomes that have become known since the last call.
     std::vector<event> takeEvents(time_point now);
 
-    // Share of the orders of the last seconds that got no answer in time, from 0 to 1.
-    double unansweredShare(time_point now);
-
 private:
     struct unanswered_order {
         map_order order;
         time_point since;
     };
 
-    struct result_time {
-        time_point at;
-        bool isAnswered = false;
-    };
-
     std::vector<unanswered_order> m_unanswered;
     std::vector<event> m_events;
-    std::deque<result_time> m_results;
 };
 
 }
--- a/expert_map/pass_hold.h
+++ b/expert_map/pass_hold.h
@@ -20,10 +20,10 @@
     // Whether this coordinator ordered the hold. Otherwise another one did, or an earlier process.
     bool isOwn = false;
     end endedBy = end::GivenUp;
-    // Time from the first to the last report that shows the hold, which is exact to the interval of the reports.
+    // Time from the first report that shows the hold to the first one that no longer does.
     duration held {};
-    // Part of `held` in which the group had reached the pass, and so stood.
-    duration stood {};
+    // Part of `held` in which the group waited, because the held pass was its next one.
+    duration waited {};
 };
 
 }
--- a/fleet/agent_process.cpp
+++ b/fleet/agent_process.cpp
@@ -536,7 +536,7 @@
         metrics.count("map_order");
         dispatcher->dispatch(order, steadyNow());
     };
-    const auto onHoldEnded = [this, group = localReport->group](const pass_hold& hold) { metrics.recordHold(group.value(), hold.held, hold.stood); };
+    const auto onHoldEnded = [this, group = localReport->group](const pass_hold& hold) { metrics.recordHold(group.value(), hold.held, hold.waited); };
     const auto onOrderOutcome = [this](const std::string& order, const std::string& outcome) { metrics.countOrder(order, outcome); };
     coordinator = std::make_unique<group_coordinator>(localReport->group, local, localReport->groupSize, log, group_coordinator::hooks { sendOrder, onHoldEnded, onOrderOutcome });
     members.startSilenceTimeout(local, steadyNow());
--- a/fleet/entry_context.cpp
+++ b/fleet/entry_context.cpp
@@ -35,7 +35,7 @@
     , m_runners([this] { return std::uniform_real_distribution<double>()(m_random); })
     , m_promptGuard(m_executor, log, metrics, [this] { return std::uniform_real_distribution<double>()(m_random); })
     , m_totals(std::make_shared<request_totals>())
-    , m_recentEntries(settings.retries.window + entryCountInterval)
+    , m_maxEntryCount(settings.retries.window + entryCountInterval)
     , m_startedAt(steadyNow())
     , m_dispatchTimer(m_executor)
 {
@@ -97,7 +97,7 @@
     m_runners.setEngine(profile.pool, profile.engine);
     std::optional<warm_up_limit> warmUp;
     if (profile.coldRequestsPerSecond > 0) {
-        const double maxPerSecond = std::max(1.0, profile.coldRequestsPerSecond * m_settings.coldOverrun + m_settings.coldSlack);
+        const double maxPerSecond = std::max(1.0, profile.coldRequestsPerSecond * m_settings.coldRateFactor + m_settings.coldExtraRequests);
         warmUp = warm_up_limit { profile.coldTime, profile.coldRequestsPerSecond, maxPerSecond };
     }
     m_runners.setWarmUp(profile.pool, warmUp, steadyNow());
@@ -111,7 +111,7 @@
 
 void entry_context::setEntries(std::vector<std::string> addresses)
 {
-    m_recentEntries.add(addresses.size(), steadyNow());
+    m_maxEntryCount.add(addresses.size(), steadyNow());
     m_runners.setEntryCount(addresses.size());
     m_warmUpEntries.onLiveEntries(addresses, steadyNow());
     m_runners.setEntries(m_settings.ip, std::move(addresses));
@@ -278,8 +278,8 @@
     const auto zones = m_evacuations.zones();
     for (const availability_zone_id& zone : std::set<availability_zone_id>(zones.begin(), zones.end()))
         names += (names.empty() ? "" : ",") + zone.value();
-    m_log.write("zones_evacuations_changed", { { "zones", names }, { "epoch", static_cast<std::int64_t>(view.asOf.epoch.value()) }, { "revision", static_cast<std::int64_t>(view.asOf.revision.value()) }, { "told_by", toldBy } });
-    m_metrics.count("zones_evacuations_changed");
+    m_log.write("evacuated_zones_changed", { { "zones", names }, { "epoch", static_cast<std::int64_t>(view.asOf.epoch.value()) }, { "revision", static_cast<std::int64_t>(view.asOf.revision.value()) }, { "told_by", toldBy } });
+    m_metrics.count("evacuated_zones_changed");
     m_runners.setEvacuatedZones(m_evacuations.zones(), steadyNow());
     if (m_onEvacuation)
         m_onEvacuation();
--- a/fleet/entry_context.h
+++ b/fleet/entry_context.h
@@ -54,7 +54,7 @@
     process_metrics& metrics() { return m_metrics; }
     const boost::asio::any_io_executor& executor() const { return m_executor; }
     // The most entries that were alive at once in the window of the retry budget. The retries of those that have stopped still count.
-    std::size_t entriesSharingRetries() const { return m_recentEntries.value(); }
+    std::size_t entriesSharingRetries() const { return m_maxEntryCount.value(); }
 
     retry_budget_share& retryBudgetOf(const pool_id&);
     admission_queue& queueOf(const pool_id& pool) { return m_queues[pool]; }
@@ -160,7 +160,7 @@
     std::unordered_map<pool_id, retry_budget_share> m_retryBudgets;
     std::unordered_map<std::string, duration> m_maxCallerTimeouts;
     std::uint64_t m_lastTicket = 0;
-    recent_maximum m_recentEntries;
+    recent_maximum m_maxEntryCount;
     recent_entries m_warmUpEntries;
     time_point m_startedAt;
     boost::asio::steady_timer m_dispatchTimer;
--- a/fleet/entry_process.cpp
+++ b/fleet/entry_process.cpp
@@ -235,8 +235,7 @@
 {
     if (message.target == "/metrics") {
         updateMemoryMetrics();
-        for (const auto& [group, spread] : entry.runners().loadSpreads(steadyNow()))
-            metrics.setLoadSpread(group.value(), spread);
+        metrics.setLoadSpreads(entry.runners().loadSpreads(steadyNow()));
         caller->respond(200, "Content-Type: text/plain; version=0.0.4\r\n", metrics.text());
     } else if (message.target == platform::readinessPath)
         caller->respond(isReady() ? 200 : 503, "", "");
@@ -431,7 +430,10 @@
             log.write("evacuation_ignored", { { "zone", zone.value().substr(0, maxZoneNameLength) }, { "revision", static_cast<std::int64_t>(row.revision.value()) }, { "too_many", isTooMany } });
             continue;
         }
-        evacuated += isNew ? 1 : 0;
+        if (isNew)
+            ++evacuated;
+        else if (row.isRemoved && !isFullSnapshot && entry.evacuations().isEvacuated(zone))
+            --evacuated;
         changes.push_back({ zone, row.revision, row.isRemoved });
     }
     if (isFullSnapshot) {
--- a/fleet/group_coordinator.cpp
+++ b/fleet/group_coordinator.cpp
@@ -151,7 +151,7 @@
     if (!ended || !m_isActive)
         return;
     const auto milliseconds = [](duration time) { return std::chrono::duration_cast<std::chrono::milliseconds>(time).count(); };
-    m_log.write("pass_hold_ended", { { "group", m_group.value() }, { "step", static_cast<std::int64_t>(ended->step.value()) }, { "ordered_here", ended->isOwn }, { "reason", nameOf(ended->endedBy) }, { "held_ms", static_cast<std::int64_t>(milliseconds(ended->held)) }, { "stood_ms", static_cast<std::int64_t>(milliseconds(ended->stood)) } });
+    m_log.write("pass_hold_ended", { { "group", m_group.value() }, { "step", static_cast<std::int64_t>(ended->step.value()) }, { "ordered_here", ended->isOwn }, { "reason", nameOf(ended->endedBy) }, { "held_ms", static_cast<std::int64_t>(milliseconds(ended->held)) }, { "waited_ms", static_cast<std::int64_t>(milliseconds(ended->waited)) } });
     m_hooks.onHoldEnded(*ended);
 }
 
--- a/fleet/http_listener.cpp
+++ b/fleet/http_listener.cpp
@@ -67,7 +67,7 @@
         }
         // A connection that finds no room is closed unread.
         if (self->m_budget && !self->m_budget->admit(steadyNow())) {
-            self->m_hooks->onRejected(0, "no connection is free");
+            self->m_hooks->onRejected(0, "no descriptor or memory is free for the connection");
             self->accept();
             return;
         }
--- a/fleet/map_order_dispatcher.cpp
+++ b/fleet/map_order_dispatcher.cpp
@@ -64,9 +64,10 @@
 
 bool map_order_dispatcher::isDelegable(const map_order& order, time_point now) const
 {
-    // Holds and releases are single orders, for which the way through an agent would only take longer.
+    // Only the witness may give these orders to the rank.
     if (order.isWitnessed)
         return true;
+    // Holds and releases are single orders, for which the way through an agent would only take longer.
     if (order.rank == m_local || order.action == map_order::kind::Hold || order.action == map_order::kind::Release)
         return false;
     if (order.placement && order.placement->sets.empty())
@@ -183,7 +184,8 @@
 void map_order_dispatcher::advance(time_point now)
 {
     for (auto& [id, pending] : m_pending) {
-        const bool isDue = now - pending.sentAt >= directCopyDelay && (pending.order.placement ? isAgentSilent(pending.order.rank, now) && canSendWholeMap() : true);
+        const bool mayGoDirectly = !pending.order.placement || (isAgentSilent(pending.order.rank, now) && canSendWholeMap());
+        const bool isDue = mayGoDirectly && now - pending.sentAt >= directCopyDelay;
         if (pending.isSentDirectly || pending.order.isWitnessed || !isDue)
             continue;
         pending.isSentDirectly = true;
--- a/fleet/map_order_dispatcher.h
+++ b/fleet/map_order_dispatcher.h
@@ -18,8 +18,8 @@
 namespace sardinelb {
 
 // Delivers a coordinator's orders: through the agents of the ranks where that is quicker, and directly to the runner of a
-// rank whose agent does not answer. An order that stops a group goes both ways if the agent does not answer at once. A prepare order that goes directly carries the whole map. In a large group these orders
-// would fill the link and delay all others, so few of them are in flight at once, and no order is sent again while it is in
+// rank whose agent does not answer. Other orders than prepare also go directly if the agent has not answered within 40 ms. A prepare
+// order that goes directly carries the whole map. In a large group these orders would fill the link and delay all others, so few of them are in flight at once, and no order is sent again while it is in
 // flight. Pure state machine.
 class map_order_dispatcher {
 public:
--- a/fleet/process_metrics.cpp
+++ b/fleet/process_metrics.cpp
@@ -28,13 +28,14 @@
     prometheus::Family<prometheus::Counter>& events = prometheus::BuildCounter().Name("sardinelb_events_total").Help("Decisions and changes of belief by kind.").Register(registry);
     prometheus::Family<prometheus::Gauge>& memory = prometheus::BuildGauge().Name("sardinelb_caller_memory_bytes").Help("Memory reserved for connections of callers by use.").Register(registry);
     prometheus::Family<prometheus::Gauge>& loadSpread = prometheus::BuildGauge().Name("sardinelb_load_spread").Help("Standard deviation of running requests over the ranks of a group.").Register(registry);
+    std::unordered_map<group_id, prometheus::Gauge*> loadSpreads;
     prometheus::Histogram& reportAge = prometheus::BuildHistogram().Name("sardinelb_report_age_seconds").Help("Age of a runner's load report when the runner is chosen.").Register(registry).Add({}, latencyBucketsSeconds);
     prometheus::Histogram& sentOnReport = prometheus::BuildHistogram().Name("sardinelb_sent_on_report").Help("Requests sent before on the same load report when a runner is chosen.").Register(registry).Add({}, sentOnReportBuckets);
     prometheus::Histogram& total = prometheus::BuildHistogram().Name("sardinelb_request_seconds").Help("Time from a request to the end of its answer.").Register(registry).Add({}, latencyBucketsSeconds);
     prometheus::Histogram& first = prometheus::BuildHistogram().Name("sardinelb_first_answer_seconds").Help("Time from a request to the first part of its answer.").Register(registry).Add({}, latencyBucketsSeconds);
     prometheus::Family<prometheus::Counter>& orders = prometheus::BuildCounter().Name("sardinelb_map_orders_total").Help("Orders to ranks by kind and outcome.").Register(registry);
     prometheus::Family<prometheus::Histogram>& holds = prometheus::BuildHistogram().Name("sardinelb_pass_hold_seconds").Help("Time for which a pass of a rank group was held.").Register(registry);
-    prometheus::Family<prometheus::Counter>& stood = prometheus::BuildCounter().Name("sardinelb_group_stood_seconds_total").Help("Time for which a rank group waited at a held pass.").Register(registry);
+    prometheus::Family<prometheus::Counter>& waited = prometheus::BuildCounter().Name("sardinelb_group_waited_seconds_total").Help("Time for which a rank group waited at a held pass.").Register(registry);
 };
 
 process_metrics::process_metrics()
@@ -61,9 +62,19 @@
     m_implementation->sentOnReport.Observe(static_cast<double>(sentOnReport));
 }
 
-void process_metrics::setLoadSpread(const std::string& group, double requests)
+void process_metrics::setLoadSpreads(const std::unordered_map<group_id, double>& spreads)
 {
-    m_implementation->loadSpread.Add({ { "group", group } }).Set(requests);
+    auto& gauges = m_implementation->loadSpreads;
+    for (const auto& [group, gauge] : gauges) {
+        if (!spreads.contains(group))
+            m_implementation->loadSpread.Remove(gauge);
+    }
+    std::erase_if(gauges, [&](const auto& entry) { return !spreads.contains(entry.first); });
+    for (const auto& [group, spread] : spreads) {
+        prometheus::Gauge& gauge = m_implementation->loadSpread.Add({ { "group", group.value() } });
+        gauge.Set(spread);
+        gauges[group] = &gauge;
+    }
 }
 
 void process_metrics::count(const std::string& event)
@@ -76,10 +87,10 @@
     m_implementation->memory.Add({ { "use", use } }).Set(static_cast<double>(bytes));
 }
 
-void process_metrics::recordHold(const std::string& group, duration held, duration stood)
+void process_metrics::recordHold(const std::string& group, duration held, duration waited)
 {
     m_implementation->holds.Add({ { "group", group } }, holdBucketsSeconds).Observe(seconds(held));
-    m_implementation->stood.Add({ { "group", group } }).Increment(seconds(stood));
+    m_implementation->waited.Add({ { "group", group } }).Increment(seconds(waited));
 }
 
 void process_metrics::countOrder(const std::string& order, const std::string& outcome)
--- a/fleet/process_metrics.h
+++ b/fleet/process_metrics.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "state/ids.h"
 #include "state/time.h"
 
 #include <cstddef>
 #include <memory>
 #include <string>
+#include <unordered_map>
 
 namespace sardinelb {
 
@@ -24,7 +26,7 @@
     void recordChoice(duration reportAge, std::size_t sentOnReport);
 
     // Sets the standard deviation of running requests over the ranks of a group, by the last reports.
-    void setLoadSpread(const std::string& group, double requests);
+    void setLoadSpreads(const std::unordered_map<group_id, double>&);
 
     // Counts an event, such as a retry.
     void count(const std::string& event);
@@ -32,8 +34,8 @@
     // Sets the bytes in use for callers of one kind, such as bodies.
     void setMemory(const std::string& use, std::size_t bytes);
 
-    // Records the time for which a pass of a rank group was held, and the part of it in which the group stood.
-    void recordHold(const std::string& group, duration held, duration stood);
+    // Records the time for which a pass of a rank group was held, and the part of it in which the group waited.
+    void recordHold(const std::string& group, duration held, duration waited);
 
     // Counts an order to a rank by its kind and outcome.
     void countOrder(const std::string& order, const std::string& outcome);
--- a/fleet/prompt_guard.cpp
+++ b/fleet/prompt_guard.cpp
@@ -46,6 +46,7 @@
 
 bool prompt_guard::onCrash(const runner_crash& crash)
 {
+    // A check of a runner by checkRunner(), which concerns no prompt.
     if (crash.promptParts.empty())
         return false;
     const bool isEvidence = m_attribution.isEvidence(crash, steadyNow());
--- a/fleet/request_relay.h
+++ b/fleet/request_relay.h
@@ -84,7 +84,14 @@
     // then the rest of the response may be missing. A process that is leaving has finished its responses.
     void confirmUnframedEnd();
     void checkRunnerAfterUnframedEnd();
+    // Whether a response that has ended with its connection is whole, as far as the list and the runner's own word tell.
+    enum class unframed_end { Whole,
+        Broken,
+        Unknown };
+    unframed_end judgeUnframedEnd(const runner_attempt&) const;
     bool isEndUnconfirmed(std::uint32_t number) const;
+    void checkSilentRunnerAfterUnframedEnd(std::uint32_t number);
+    void endSilentAttempt(std::uint32_t number, bool hasRunnerEnded);
     void onUnframedEndChecked(bool hasRunnerEnded);
     void onResponseComplete();
     void onAttemptFailed(attempt_failure, const char* why);
--- a/fleet/request_relay_failover.cpp
+++ b/fleet/request_relay_failover.cpp
@@ -10,6 +10,7 @@
 #include "serving/traffic_route.h"
 
 #include <algorithm>
+#include <memory>
 #include <utility>
 
 namespace sardinelb {
@@ -133,30 +134,50 @@
         onExchangeEnd(result);
         return;
     }
-    const runner_record* record = m_context.runners().find(silent->runner);
-    if (!record || processOf(record->listing) != silent->process) {
-        abandonSilentAttempt(silent, "runner ended together with a response of unknown length");
+    silent->isEndUnconfirmed = true;
+    const auto timer = std::make_shared<boost::asio::steady_timer>(m_context.executor(), runnerEndTime);
+    timer->async_wait([self = shared_from_this(), timer, number](const boost::system::error_code& error) {
+        if (!error)
+            self->checkSilentRunnerAfterUnframedEnd(number);
+    });
+}
+
+void request_relay::checkSilentRunnerAfterUnframedEnd(std::uint32_t number)
+{
+    // It may have become the current attempt meanwhile, because no other runner could continue the stream.
+    if (isEndUnconfirmed(number)) {
+        checkRunnerAfterUnframedEnd();
         return;
     }
-    silent->isEndUnconfirmed = true;
-    m_context.promptGuard().checkRunner(record->listing, [self = shared_from_this(), number](bool hasEnded) {
-        if (self->isEndUnconfirmed(number)) {
-            // It has become the current attempt meanwhile, because no other runner could continue the stream.
+    const auto silent = findSilentAttempt(number);
+    if (silent == m_silentAttempts.end())
+        return;
+    const unframed_end end = judgeUnframedEnd(*silent);
+    if (end != unframed_end::Unknown) {
+        endSilentAttempt(number, end == unframed_end::Broken);
+        return;
+    }
+    m_context.promptGuard().checkRunner(m_context.runners().find(silent->runner)->listing, [self = shared_from_this(), number](bool hasEnded) {
+        if (self->isEndUnconfirmed(number))
             self->onUnframedEndChecked(hasEnded);
-            return;
-        }
-        const auto ended = self->findSilentAttempt(number);
-        if (ended == self->m_silentAttempts.end())
-            return;
-        if (hasEnded) {
-            self->abandonSilentAttempt(ended, "runner ended together with a response of unknown length");
-            return;
-        }
-        self->resumeSilentAttempt(ended);
-        self->onResponseComplete();
+        else
+            self->endSilentAttempt(number, hasEnded);
     });
 }
 
+void request_relay::endSilentAttempt(std::uint32_t number, bool hasRunnerEnded)
+{
+    const auto silent = findSilentAttempt(number);
+    if (silent == m_silentAttempts.end())
+        return;
+    if (hasRunnerEnded) {
+        abandonSilentAttempt(silent, "runner ended together with a response of unknown length");
+        return;
+    }
+    resumeSilentAttempt(silent);
+    onResponseComplete();
+}
+
 void request_relay::resumeSilentAttempt(std::vector<runner_attempt>::iterator silent)
 {
     m_context.log().write("attempt_resumed", { { "request", m_request.attemptId }, { "runner", silent->runner.value() }, { "silent_ms", wholeMilliseconds(steadyNow() - silent->lastEventAt) } });
--- a/fleet/request_relay_response.cpp
+++ b/fleet/request_relay_response.cpp
@@ -27,9 +27,6 @@
 constexpr std::size_t maxEventBytes = 1048576;
 constexpr std::size_t maxBufferedResponseBytes = 33554432;
 
-// A process that is killed may close its connections shortly before its listening socket.
-constexpr std::chrono::milliseconds processEndTime { 20 };
-
 // Memory of a buffered response in proportion to its bytes. Buffers grow, and whole events are copied before they are sent.
 constexpr std::size_t bufferedMemoryFactor = 2;
 
@@ -222,7 +219,7 @@
 {
     m_silenceTimer.cancel();
     m_attempt.isEndUnconfirmed = true;
-    const auto timer = std::make_shared<boost::asio::steady_timer>(m_context.executor(), processEndTime);
+    const auto timer = std::make_shared<boost::asio::steady_timer>(m_context.executor(), runnerEndTime);
     timer->async_wait([self = shared_from_this(), timer, number = m_attempt.number](const boost::system::error_code& error) {
         if (!error && self->isEndUnconfirmed(number))
             self->checkRunnerAfterUnframedEnd();
@@ -234,22 +231,26 @@
     return !m_isFinished && isCurrent(number) && m_attempt.exchange && m_attempt.isEndUnconfirmed;
 }
 
+request_relay::unframed_end request_relay::judgeUnframedEnd(const runner_attempt& attempt) const
+{
+    if (attempt.head && attempt.head->isLeaving)
+        return unframed_end::Whole;
+    const runner_record* record = m_context.runners().find(attempt.runner);
+    if (!record)
+        return unframed_end::Whole;
+    if (processOf(record->listing) != attempt.process)
+        return unframed_end::Broken;
+    return record->isLeaving || record->listing.isDraining ? unframed_end::Whole : unframed_end::Unknown;
+}
+
 void request_relay::checkRunnerAfterUnframedEnd()
 {
-    if (m_attempt.head->isLeaving) {
-        onResponseComplete();
-        return;
-    }
-    const runner_record* record = m_context.runners().find(m_attempt.runner);
-    if (record && processOf(record->listing) != m_attempt.process) {
-        onUnframedEndChecked(true);
-        return;
-    }
-    if (!record || record->isLeaving || record->listing.isDraining) {
-        onResponseComplete();
+    const unframed_end end = judgeUnframedEnd(m_attempt);
+    if (end != unframed_end::Unknown) {
+        onUnframedEndChecked(end == unframed_end::Broken);
         return;
     }
-    m_context.promptGuard().checkRunner(record->listing, [self = shared_from_this(), number = m_attempt.number](bool hasEnded) {
+    m_context.promptGuard().checkRunner(m_context.runners().find(m_attempt.runner)->listing, [self = shared_from_this(), number = m_attempt.number](bool hasEnded) {
         if (self->isEndUnconfirmed(number))
             self->onUnframedEndChecked(hasEnded);
     });
--- a/fleet/runner_attempt.h
+++ b/fleet/runner_attempt.h
@@ -5,6 +5,7 @@
 #include "state/ids.h"
 #include "state/time.h"
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -14,6 +15,9 @@
 
 class runner_exchange;
 
+// A process that is killed may close its connections this long before its listening socket.
+inline constexpr std::chrono::milliseconds runnerEndTime { 20 };
+
 // One attempt of a request at a runner, and what has been received of the response.
 struct runner_attempt {
     // Distinguishes the attempts of a request. 0 before the first one.
--- a/relay/http_server_connection.cpp
+++ b/relay/http_server_connection.cpp
@@ -29,15 +29,9 @@
 // Bytes of pipelined requests that are buffered while the current request is served.
 constexpr std::size_t maxReadAheadBytes = 65536;
 
-// Fewer bytes of a body count as no progress.
-constexpr std::size_t minBodyProgressBytes = 1024;
-
 // The connection is closed when the caller reads nothing for this time.
 constexpr std::chrono::seconds writeTimeout { 10 };
 
-// Memory of a parsed head in proportion to its bytes. A field of five bytes takes two allocations and a node in a tree.
-constexpr std::size_t headMemoryFactor = 16;
-
 // Buffers that are larger are freed once they are empty. Smaller ones are part of the memory of a connection.
 constexpr std::size_t keptBufferBytes = 4096;
 
@@ -306,7 +300,7 @@
 void http_server_connection::implementation::recordBodyProgress(std::size_t receivedBytes)
 {
     bytesSinceProgress += receivedBytes;
-    if (bytesSinceProgress < minBodyProgressBytes)
+    if (bytesSinceProgress < minProgressBytes)
         return;
     bytesSinceProgress = 0;
     bodyProgressAt = steadyTime();
--- a/relay/memory_budget.h
+++ b/relay/memory_budget.h
@@ -12,11 +12,17 @@
 
 namespace sardinelb {
 
+// Memory of a parsed head in proportion to its bytes: a field of five bytes takes two allocations and a node in a tree.
+inline constexpr std::size_t headMemoryFactor = 16;
+
+// Fewer received bytes do not count as progress.
+inline constexpr std::size_t minProgressBytes = 1024;
+
 // Decides which connections of a process may use memory, so that all together stay within its limit whatever clients send and leave
 // unread. Users reserve before they read or allocate, and state amounts that cover what the allocator really takes. If there is no room,
 // connections give way in this order: those without progress, the largest first; then the largest unfinished request, of equal ones the
-// newest. Idle connections give way only to new ones. A request that has been passed on to a runner gives way only when its caller has stopped reading the response. Without input
-// or output; the time is passed in.
+// newest. Idle connections give way only to new ones. A request that was passed on to a runner gives way only when its caller has
+// stopped reading the response. Pure state machine; time is passed in.
 class memory_budget {
 public:
     enum class stage {
--- a/serving/exclusion_reason.h
+++ b/serving/exclusion_reason.h
@@ -25,7 +25,4 @@
     GroupNotOpen,
 };
 
-// For log lines and explanations.
-const char* nameOf(exclusion_reason);
-
 }
--- a/transport/http_session.cpp
+++ b/transport/http_session.cpp
@@ -26,17 +26,11 @@
 constexpr int requestTimeoutStatus = 408;
 constexpr int unavailableStatus = 503;
 
-// Memory of a parsed head in proportion to its bytes. A field of five bytes takes an allocation and a node in a tree.
-constexpr std::size_t headMemoryFactor = 16;
-
 // A body is kept while it is served, beside the message that is decoded from it and the one that goes to an agent.
 constexpr std::size_t servedBodyFactor = 3;
 
 constexpr std::size_t readSizeBytes = 4096;
 
-// Fewer bytes of a request count as no progress.
-constexpr std::size_t minProgressBytes = 1024;
-
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 
 std::string responseHead(
--- a/transport/session_memory.cpp
+++ b/transport/session_memory.cpp
@@ -5,13 +5,6 @@
 
 namespace sardinelb {
 
-namespace {
-
-// A connection without requests: the coroutines that serve it, its buffers and the bookkeeping of the event loop.
-constexpr std::size_t connectionBytes = 16384;
-
-}
-
 time_point session_memory::now()
 {
     return time_point(std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
@@ -23,7 +16,7 @@
     if (!m_budget)
         return;
     m_account = m_budget->open(std::move(onEvicted), now());
-    m_budget->charge(m_account, memory_use::Connection, connectionBytes, now());
+    m_budget->charge(m_account, memory_use::Connection, memory_budget::connectionBytes, now());
 }
 
 session_memory::~session_memory()
