Make three tests clean for the linter

Cause: the linter had run on changed files only, and not on these.

Measured: scripts/lint is clean on the three; on the commit before, the whole lint names just these.

--- a/tests/fleet/entry_request_test.cpp
+++ b/tests/fleet/entry_request_test.cpp
@@ -212,8 +212,10 @@
     startEntry();
     std::string sent = request("POST", "/book/x", "Authorization: Bearer k1\r\n", "b");
     sent.replace(sent.find("2000"), 4, "8000");
+    constexpr std::size_t callers = 3;
     std::vector<std::shared_ptr<caller_result>> results;
-    for (int i = 0; i < 3; ++i)
+    results.reserve(callers);
+    for (std::size_t i = 0; i < callers; ++i)
         results.push_back(startCall(m_settings.callerAddress, sent));
     for (const auto& result : results) {
         for (int i = 0; i < 100 && !result->isEnded; ++i)
--- a/tests/fleet/map_switch_fault_test.cpp
+++ b/tests/fleet/map_switch_fault_test.cpp
@@ -354,9 +354,8 @@
 // cannot be reached from then on, nobody can know whether it is armed, and the pass must be held until it is reached.
 bool isDuringOwnArming(const fault& what, std::uint32_t groupSize)
 {
-    const std::size_t ordersOfSwitch = 2 * groupSize + 2;
-    const std::size_t order = what.order % ordersOfSwitch;
-    return order == 2 * groupSize;
+    const std::size_t ordersBeforeOwnArming = std::size_t { 2 } * groupSize;
+    return what.order % (ordersBeforeOwnArming + 2) == ordersBeforeOwnArming;
 }
 
 milliseconds maxPassGapAfter(const std::vector<fault>& faults, std::uint32_t groupSize)
--- a/tests/fleet/runner_choice_test.cpp
+++ b/tests/fleet/runner_choice_test.cpp
@@ -54,6 +54,7 @@
     for (int i = 0; i < 4; ++i)
         shares["10.0.0." + std::to_string(i)] = 0.25;
     std::vector<double> loads;
+    loads.reserve(shares.size());
     for (const auto& [entry, share] : shares)
         loads.push_back(assumedLoad(reported(4, 0), followerShare("10.1.0.1:80", entry, shares, 4), seconds(2), time_point(seconds(1))));
     std::sort(loads.begin(), loads.end());
