--- a/review/stand_ins_2/plain_runner.py
+++ b/review/stand_ins_2/plain_runner.py
@@ -79,7 +79,8 @@
 
 async def main():
     ip, port, name, framing = sys.argv[1:5]
-    server = await asyncio.start_server(Runner(name, framing == "chunked").serve, ip, int(port))
+    runner = Runner(name, framing == "chunked")
+    server = await asyncio.start_server(runner.serve, ip, int(port))
     async with server:
         await server.serve_forever()
 
