--- a/review/stand_ins_2/plain_runner.py
+++ b/review/stand_ins_2/plain_runner.py
@@ -1,8 +1,8 @@
 """A runner of a plain service, as a process of its own, so that its end closes its connections as the kernel does.
 
-    plain_runner.py IP PORT ID FRAMING
+    plain_runner.py IP PORT ID FRAMING [PART_PAUSE_S]
 
-It answers a POST below /lohu930/ with a stream of EVENTS events, and any other request with a body. FRAMING is `chunked` or `close`: an answer
+It answers a POST below /lohu930/ with a stream of EVENTS events, and any other request with a body, in parts with a pause after each. FRAMING is `chunked` or `close`: an answer
 without a length that ends with its connection, which the pages allow. Writes a line for each run and its end to standard output.
 """
 
@@ -15,6 +15,8 @@
 
 EVENTS = 24
 EVENT_PAUSE_S = 0.15
+PART_PAUSE_S = 0.05
+PART_BYTES = 200
 STREAM_PATH = "/lohu930/"
 
 
@@ -28,9 +30,10 @@
 
 
 class Runner:
-    def __init__(self, name, is_chunked):
+    def __init__(self, name, is_chunked, part_pause_s):
         self.name = name
         self.is_chunked = is_chunked
+        self.part_pause_s = part_pause_s
 
     def head(self, attempt, kind):
         framing = "Transfer-Encoding: chunked\r\n" if self.is_chunked else ""
@@ -69,7 +72,7 @@
             else:
                 body = body_of(attempt)
                 writer.write(self.head(attempt, "text/plain"))
-                await self.send(writer, [body[start:start + 200] for start in range(0, len(body), 200)], 0.05)
+                await self.send(writer, [body[start:start + PART_BYTES] for start in range(0, len(body), PART_BYTES)], self.part_pause_s)
             print(f"{self.name}: has answered {attempt} in full", flush=True)
         except (ConnectionError, OSError):
             pass
@@ -79,7 +82,7 @@
 
 async def main():
     ip, port, name, framing = sys.argv[1:5]
-    runner = Runner(name, framing == "chunked")
+    runner = Runner(name, framing == "chunked", float(sys.argv[5]) if len(sys.argv) > 5 else PART_PAUSE_S)
     server = await asyncio.start_server(runner.serve, ip, int(port))
     async with server:
         await server.serve_forever()
