Refuse answers whose head has a line that begins with a blank

Cause: Boost.Beast accepts folded lines, which HTTP/1.1 allows no sender, and joins them to the value before. Blanks and control bytes elsewhere in a name are refused by it.

Change: relay/head_lines finds such a line as a pure function; the readers of runners' answers of both interfaces ask it before they parse a head, and take the answer for broken. transport/runner_client now receives the head itself, within the same 16 KiB.

--- a/relay/runner_exchange.cpp
+++ b/relay/runner_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "relay/bounded_parse.h"
 #include "relay/endpoint.h"
+#include "relay/head_lines.h"
 #include "relay/http_response_head.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -101,6 +102,7 @@
     void onReceived(const std::shared_ptr<runner_exchange>&, const error_code&, std::size_t);
     void startResponse();
     bool parse();
+    bool isHeadFolded() const;
     bool isInterimHead() const;
     bool skipInterimHead();
     bool isHeadValid() const;
@@ -202,6 +204,11 @@
     parser->skip(request.starts_with("HEAD "));
 }
 
+bool runner_exchange::implementation::isHeadFolded() const
+{
+    return !parser->is_header_done() && hasFoldedLine({ static_cast<const char*>(input.data().data()), input.size() });
+}
+
 bool runner_exchange::implementation::isInterimHead() const
 {
     if (hasHead || !parser->is_header_done())
@@ -229,6 +236,8 @@
 bool runner_exchange::implementation::parse()
 {
     while (input.size() > 0 && !parser->is_done() && !isFinished) {
+        if (isHeadFolded())
+            return false;
         error_code error;
         const std::size_t consumedBytes = parseBounded(*parser, input, maxFramingBytes, error);
         if (error)
--- a/tests/error/runner_client_test.cpp
+++ b/tests/error/runner_client_test.cpp
@@ -297,6 +297,48 @@
     }
 }
 
+// Guards against a field line that is no field: one that begins with a blank would be joined to the line before it, so that the caller
+// gets a body that is not the runner's, or a content type with that line in it.
+TEST_F(runner_client_test, fieldNameWithBlankOrControlByteIsBroken)
+{
+    const std::string body = "Content-Length: 4\r\n\r\ndone";
+    const std::vector<std::string> cases {
+        "Bad Name: x\r\n" + body,
+        "Name : x\r\n" + body,
+        "Content-Length : 2\r\n\r\ndone",
+        " Content-Length: 2\r\n\r\ndone",
+        "X: y\r\n Content-Length: 2\r\n\r\ndone",
+        "X: y\r\n\tTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        "Content-Type: text/plain\r\n X: y\r\n" + body,
+        "Content-Length:\r\n 2\r\n\r\ndone",
+        "Na\x01me: x\r\n" + body,
+        "Na\x7fme: x\r\n" + body,
+        ": x\r\n" + body,
+        "Name\r\n" + body,
+    };
+    for (const std::string& lines : cases) {
+        for (const pool_kind kind : { pool_kind::Model, pool_kind::Service }) {
+            outcomes.clear();
+            EXPECT_EQ(callRespondingWith("HTTP/1.1 200 OK\r\n" + lines, kind), "failed broken") << lines;
+        }
+        outcomes.clear();
+        EXPECT_EQ(callRespondingWith("HTTP/1.1 409 Conflict\r\n" + lines), "failed broken") << lines;
+    }
+    outcomes.clear();
+    EXPECT_EQ(callRespondingWith("HTTP/1.1 103 Early Hints\r\nX: y\r\n Z: z\r\n\r\nHTTP/1.1 200 OK\r\n" + body, pool_kind::Service), "failed broken");
+}
+
+// Guards against refusing fields whose names and values are unusual and allowed.
+TEST_F(runner_client_test, unusualFieldIsAnswered)
+{
+    for (const char* line : { "x!#$%&'*+-.^_`|~9: y", "X:y", "X: \t y \t ", "X:", "X: y: z" }) {
+        outcomes.clear();
+        EXPECT_EQ(callRespondingWith(std::string("HTTP/1.1 200 OK\r\n") + line + "\r\nContent-Length: 11\r\n\r\n\r\n X: y\r\n\r\n", pool_kind::Service),
+            "answered 200 \r\n X: y\r\n\r\n")
+            << line;
+    }
+}
+
 // Guards against reporting a call as not run although its engine failed while running it.
 TEST_F(runner_client_test, modelStatusThatIsNoRefusalIsBroken)
 {
--- a/tests/fleet/runner_exchange_test.cpp
+++ b/tests/fleet/runner_exchange_test.cpp
@@ -285,6 +285,55 @@
         EXPECT_EQ(exchange(response).result, runner_exchange::result::Broken) << response.substr(0, 200);
 }
 
+// Guards against a field line that is no field: one that begins with a blank would be joined to the line before it, so that a length is
+// not seen and the body has other bytes.
+TEST_F(exchange_with_runner, fieldName_blankOrControlByte_broken)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string body = "Content-Length: 2\r\n\r\nok";
+    const std::vector<std::string> responses {
+        head + "Bad Name: x\r\n" + body,
+        head + "Bad\tName: x\r\n" + body,
+        head + "Name : x\r\n" + body,
+        head + "Name\t: x\r\n" + body,
+        head + "Content-Length : 2\r\n\r\nok",
+        head + "Content-Length\t: 2\r\n\r\nok",
+        head + " Content-Length: 2\r\n\r\nok",
+        head + "\tContent-Length: 2\r\n\r\nok",
+        head + "X: y\r\n Content-Length: 2\r\n\r\nok",
+        head + "X: y\r\n\tContent-Length: 2\r\n\r\nok",
+        head + "X: y\r\n Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        head + "X: y\r\n more\r\n" + body,
+        head + "X:\r\n y\r\n" + body,
+        head + "Content-Length: 2\r\n \r\n\r\nok",
+        head + "Content-Length: 2\r\n\t\r\nX: y\r\n\r\nok",
+        head + "Na\x01me: x\r\n" + body,
+        head + "\x1bName: x\r\n" + body,
+        head + "Na\x7fme: x\r\n" + body,
+        head + std::string("Na\0me: x\r\n", 10) + body,
+        head + "Na\rme: x\r\n" + body,
+        head + "N\xc3\xa4me: x\r\n" + body,
+        head + ": x\r\n" + body,
+        head + "Name\r\n" + body,
+        "HTTP/1.1 103 Early Hints\r\nX: y\r\n Link: z\r\n\r\n" + head + body,
+    };
+    for (const std::string& response : responses) {
+        const outcome received = exchange(response);
+        EXPECT_EQ(received.result, runner_exchange::result::Broken) << response;
+        EXPECT_EQ(received.heads, 0U) << response;
+    }
+}
+
+// Guards against refusing fields whose names and values are unusual and allowed.
+TEST_F(exchange_with_runner, field_unusualAndAllowed_complete)
+{
+    for (const char* line : { "x!#$%&'*+-.^_`|~9: y", "X:y", "X: \t y \t ", "X:", "X: a  b\tc", "X: \xc3\xa4", "X: y: z" }) {
+        const outcome received = exchange(std::string("HTTP/1.1 200 OK\r\n") + line + "\r\nContent-Length: 11\r\n\r\nok\r\n X: y\r\n");
+        EXPECT_EQ(received.result, runner_exchange::result::Complete) << line;
+        EXPECT_EQ(received.body, "ok\r\n X: y\r\n") << line;
+    }
+}
+
 // Guards against counting the bytes after a complete response to its body.
 TEST_F(exchange_with_runner, response_secondOneFollows_onlyFirstDelivered)
 {
--- a/transport/runner_client.cpp
+++ b/transport/runner_client.cpp
@@ -1,6 +1,7 @@
 #include "transport/runner_client.h"
 
 #include "relay/bounded_parse.h"
+#include "relay/head_lines.h"
 #include "state/bounded_json.h"
 #include "state/pool.h"
 #include "transport/net_thread.h"
@@ -25,6 +26,7 @@
 #include <chrono>
 #include <limits>
 #include <optional>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 
@@ -104,6 +106,21 @@
     return (status >= 400 && status < 500) || status == static_cast<unsigned>(http::status::service_unavailable);
 }
 
+// Reads until the buffer has a whole head. Fails with bad_field if a line of it is folded, which the parser would accept.
+asio::awaitable<beast::error_code> receiveHead(beast::tcp_stream& stream, beast::flat_buffer& buffer)
+{
+    const auto received = [&buffer] { return std::string_view(static_cast<const char*>(buffer.data().data()), buffer.size()); };
+    while (!headBytes(received())) {
+        if (buffer.size() == buffer.max_size())
+            co_return beast::error_code(http::error::header_limit);
+        auto [error, bytes] = co_await stream.async_read_some(buffer.prepare(buffer.max_size() - buffer.size()), asTuple);
+        if (error)
+            co_return error;
+        buffer.commit(bytes);
+    }
+    co_return hasFoldedLine(received()) ? beast::error_code(http::error::bad_field) : beast::error_code();
+}
+
 // Reads the head of the answer and skips the interim responses before it. Leaves the parser ready for the body.
 template <typename Body>
 asio::awaitable<beast::error_code> readHead(beast::tcp_stream& stream, beast::flat_buffer& buffer,
@@ -113,6 +130,8 @@
         parser.emplace();
         parser->skip(!hasBody);
         parser->body_limit(bodyLimit);
+        if (const auto failed = co_await receiveHead(stream, buffer))
+            co_return failed;
         auto [error, bytes] = co_await http::async_read_header(stream, buffer, *parser, asTuple);
         if (error || !isInterim(parser->get().result_int()))
             co_return error;
