Refuse answers of plain services with a coding that callers do not learn of

Cause: Boost.Beast decodes chunks only and delivers the bytes of any other transfer coding. relay/runner_exchange checks for that, the agent's transport/runner_client did not, and it looked at no content coding.

Change: the check of relay/runner_exchange moves to relay/transfer_coding and serves both; the agent takes a content coding other than identity for a broken answer, too.

Evidence: bodyWithACodingIsBroken failed for its three codings before the change ("answered 200") and passes now; bodyWithoutACodingIsAnswered passed before and after.

--- a/relay/runner_exchange.cpp
+++ b/relay/runner_exchange.cpp
@@ -4,13 +4,13 @@
 #include "relay/endpoint.h"
 #include "relay/head_lines.h"
 #include "relay/http_response_head.h"
+#include "relay/transfer_coding.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/parser.hpp>
 
 #include <limits>
@@ -220,10 +220,7 @@
 bool runner_exchange::implementation::isHeadValid() const
 {
     const auto& head = parser->get();
-    if (head.result_int() < firstFinalStatus || head.result_int() > lastFinalStatus)
-        return false;
-    const auto codings = head.count(http::field::transfer_encoding);
-    return codings == 0 || (codings == 1 && boost::beast::iequals(head[http::field::transfer_encoding], "chunked"));
+    return head.result_int() >= firstFinalStatus && head.result_int() <= lastFinalStatus && isTransferCodingDecoded(head);
 }
 
 bool runner_exchange::implementation::skipInterimHead()
--- a/tests/error/runner_client_test.cpp
+++ b/tests/error/runner_client_test.cpp
@@ -328,6 +328,25 @@
     EXPECT_EQ(callRespondingWith("HTTP/1.1 103 Early Hints\r\nX: y\r\n Z: z\r\n\r\nHTTP/1.1 200 OK\r\n" + body, pool_kind::Service), "failed broken");
 }
 
+// Guards against passing on the bytes of a coding as the body.
+TEST_F(runner_client_test, bodyWithACodingIsBroken)
+{
+    for (const char* field : { "Transfer-Encoding: gzip, chunked", "Transfer-Encoding: chunked, chunked", "Content-Encoding: gzip\r\nTransfer-Encoding: chunked" }) {
+        for (const pool_kind kind : { pool_kind::Model, pool_kind::Service }) {
+            outcomes.clear();
+            EXPECT_EQ(callRespondingWith(std::string("HTTP/1.1 200 OK\r\n") + field + "\r\n\r\n" + chunk("done") + "0\r\n\r\n", kind), "failed broken") << field;
+        }
+    }
+}
+
+TEST_F(runner_client_test, bodyWithoutACodingIsAnswered)
+{
+    for (const char* field : { "Transfer-Encoding: chunked", "Transfer-Encoding: Chunked", "Content-Encoding: identity\r\nTransfer-Encoding: chunked" }) {
+        outcomes.clear();
+        EXPECT_EQ(callRespondingWith(std::string("HTTP/1.1 200 OK\r\n") + field + "\r\n\r\n" + chunk("done") + "0\r\n\r\n", pool_kind::Service), "answered 200 done") << field;
+    }
+}
+
 // Guards against refusing fields whose names and values are unusual and allowed.
 TEST_F(runner_client_test, unusualFieldIsAnswered)
 {
--- a/transport/runner_client.cpp
+++ b/transport/runner_client.cpp
@@ -2,6 +2,7 @@
 
 #include "relay/bounded_parse.h"
 #include "relay/head_lines.h"
+#include "relay/transfer_coding.h"
 #include "state/bounded_json.h"
 #include "state/pool.h"
 #include "transport/net_thread.h"
@@ -106,6 +107,13 @@
     return (status >= 400 && status < 500) || status == static_cast<unsigned>(http::status::service_unavailable);
 }
 
+// Whether the body is that of the runner without any coding. Requests accept none, and callers are not told of one.
+bool isBodyDecoded(const http::fields& fields)
+{
+    const auto coding = fields[http::field::content_encoding];
+    return isTransferCodingDecoded(fields) && (coding.empty() || beast::iequals(coding, "identity"));
+}
+
 // Reads until the buffer has a whole head. Fails with bad_field if a line of it is folded, which the parser would accept.
 asio::awaitable<beast::error_code> receiveHead(beast::tcp_stream& stream, beast::flat_buffer& buffer)
 {
@@ -133,8 +141,10 @@
         if (const auto failed = co_await receiveHead(stream, buffer))
             co_return failed;
         auto [error, bytes] = co_await http::async_read_header(stream, buffer, *parser, asTuple);
-        if (error || !isInterim(parser->get().result_int()))
+        if (error)
             co_return error;
+        if (!isInterim(parser->get().result_int()))
+            co_return isBodyDecoded(parser->get()) ? beast::error_code() : beast::error_code(http::error::bad_transfer_encoding);
     }
     co_return beast::error_code(http::error::header_limit);
 }
