Let the largest answer give way when buffered answers fill their memory

Cause: an entry buffers at most 32 MiB of all answers together. At this bound it ended the answer whose bytes arrived next, whosever that was.

Change: the largest buffered answer gives way in its place, as requests do in memory_budget.

Evidence: longBodiesFillTheMemory_ordinaryAnswerBesideThem_forwardedWhole got 502 before the change and the whole 2 MiB answer after it, with one of the four long answers ended. The other five tests of answers without end passed before and after.

--- a/fleet/request_relay.h
+++ b/fleet/request_relay.h
@@ -71,8 +71,12 @@
     void forwardEvents(const std::string&);
     void onExchangeEnd(runner_exchange::result);
     void appendToBody(std::string_view);
-    // Counts the buffered part of the response. Returns false if it is too long to buffer.
+    // What is buffered of the response to the current attempt.
+    std::size_t attemptBytes() const;
+    // Counts the buffered part of the response. Returns false if it is too long to buffer, alone or beside those of other requests.
     bool updateBufferedBytes();
+    // Ends the attempt whose buffered response is the largest of all, so that others have room. Returns false if that is this one's.
+    bool endLargerResponse();
     // Returns false if there is no memory for the buffered part of the response.
     bool reserveBufferedBytes();
     // Ends the attempt without holding that against its runner.
--- a/fleet/request_relay_response.cpp
+++ b/fleet/request_relay_response.cpp
@@ -124,9 +124,14 @@
     m_attempt.body += part;
 }
 
+std::size_t request_relay::attemptBytes() const
+{
+    return m_attempt.body.size() + m_attempt.events.pendingBytes();
+}
+
 bool request_relay::updateBufferedBytes()
 {
-    const std::size_t bytes = m_attempt.body.size() + m_attempt.events.pendingBytes();
+    const std::size_t bytes = attemptBytes();
     std::size_t allBytes = bytes;
     for (const runner_attempt& silent : m_silentAttempts)
         allBytes += silent.events.pendingBytes();
@@ -134,13 +139,30 @@
     const bool isGrowing = allBytes > m_bufferedBytes;
     total += allBytes - m_bufferedBytes;
     m_bufferedBytes = allBytes;
-    if (bytes > (m_attempt.isRelayingStream ? maxEventBytes : maxBodyBytes) || (isGrowing && total > maxBufferedResponseBytes))
+    if (bytes > (m_attempt.isRelayingStream ? maxEventBytes : maxBodyBytes))
         return false;
+    while (isGrowing && total > maxBufferedResponseBytes) {
+        if (!endLargerResponse())
+            return false;
+    }
     if (!isGrowing)
         reserveBufferedBytes();
     return true;
 }
 
+bool request_relay::endLargerResponse()
+{
+    std::shared_ptr<request_relay> largest = shared_from_this();
+    m_context.forEachRequest([&](request_relay& other) {
+        if (other.m_attempt.exchange && other.attemptBytes() > largest->attemptBytes())
+            largest = other.shared_from_this();
+    });
+    if (largest.get() == this)
+        return false;
+    largest->onAttemptFailed(attempt_failure::OutcomeUnknown, "response is too long to buffer beside those of others");
+    return true;
+}
+
 bool request_relay::reserveBufferedBytes()
 {
     return m_caller->reserveAnswer(m_bufferedBytes * bufferedMemoryFactor);
--- a/tests/fleet/entry_endless_response_test.cpp
+++ b/tests/fleet/entry_endless_response_test.cpp
@@ -68,6 +68,35 @@
     expectEndedWithin(8 * megabyte, "/book/x");
 }
 
+// Guards against ending whichever answer grows next, of any caller, once answers without end have filled the memory for all answers.
+TEST_F(entry_endless_response, longBodiesFillTheMemory_ordinaryAnswerBesideThem_forwardedWhole)
+{
+    const std::string fields = "Attempt-Id: a1\r\nServer-Seal: s.1\r\n";
+    const std::string ordinary(2 * megabyte, 'o');
+    addRunner("r1", [&](const std::shared_ptr<http_server_connection>& caller, const http_request_message& message) {
+        if (message.target == "/book/ordinary") {
+            caller->respond(200, fields, ordinary);
+            return;
+        }
+        caller->beginStream(200, fields);
+        caller->sendChunk(std::string(8000000, 'x'));
+    });
+    startStore();
+    startEntry();
+    const std::string longRequest = request("POST", "/book/long");
+    std::vector<std::shared_ptr<caller_result>> longAnswers;
+    for (int i = 0; i < 4; ++i)
+        longAnswers.push_back(startCall(m_settings.callerAddress, longRequest));
+    runFor(milliseconds(400));
+    const caller_result result = call(request("POST", "/book/ordinary"));
+    EXPECT_EQ(result.status, 200);
+    EXPECT_EQ(result.body, ordinary);
+    int ended = 0;
+    for (const auto& answer : longAnswers)
+        ended += answer->status == 502 ? 1 : 0;
+    EXPECT_EQ(ended, 1);
+}
+
 TEST_F(entry_endless_response, trailer_neverEnds_unknownOutcomeAndMemoryBounded)
 {
     const auto runner = startRunner("r1", "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Seal: s.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n", "X-Field: value\r\n");
