Bound the text of answers that an entry of sardinelbd buffers

Cause: an answer that is not streamed is buffered until its end. Only the number of its tokens was bounded (32,768), not the text of a token (64 KiB a line), and this memory counted nowhere.

Change: text that waits for the end of answers takes at most a quarter of the callers' memory, 128 MiB by default. Beyond that, the longest answer ends with runner_failed (502, execution unknown), its attempt is cancelled and a log line says why. 32,768 tokens of ordinary length take 0.2 MiB.

--- a/daemon/caller_api.cpp
+++ b/daemon/caller_api.cpp
@@ -9,6 +9,7 @@
 #include "state/name_digest.h"
 #include "transport/http_exchange.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -37,8 +38,9 @@
 
 }
 
-caller_api::caller_api(std::string idPrefix, metrics& counters, hooks callbacks)
+caller_api::caller_api(std::string idPrefix, std::size_t maxBufferedBytes, metrics& counters, hooks callbacks)
     : m_idPrefix(std::move(idPrefix))
+    , m_maxBufferedBytes(maxBufferedBytes)
     , m_metrics(counters)
     , m_hooks(std::move(callbacks))
 {
@@ -175,7 +177,7 @@
     }
     m_sessions.emplace(id, session);
     exchange->onClosed = [this, id] {
-        m_sessions.erase(id);
+        takeSession(id);
         m_hooks.onCallerDisconnected(id);
     };
     exchange->onWritten = [this, id, weak = std::weak_ptr<caller_session>(session)](std::size_t bytes) {
@@ -197,19 +199,46 @@
         m_metrics.observeFirstPart(std::chrono::duration<double>(elapsed).count());
     }
     session.addText(action.bytes);
-    // The text of a non-streaming answer is buffered here, so it counts as read at once. The token limit bounds its
-    // size.
     if (!session.isStreaming())
-        m_hooks.onCallerRead(action.request, byte_count(static_cast<std::int64_t>(action.bytes.size())));
+        buffer(action.request, action.bytes.size());
 }
 
-void caller_api::sendEnd(const answer_end_action& action)
+void caller_api::buffer(const request_id& id, std::size_t bytes)
 {
-    const auto found = m_sessions.find(action.request);
+    m_bufferedBytes += bytes;
+    // The number of tokens does not bound the answer, since a runner in trouble may send any text as a token.
+    while (m_bufferedBytes > m_maxBufferedBytes)
+        endLongestAnswer();
+    // Buffered text counts as read at once.
+    if (m_sessions.contains(id))
+        m_hooks.onCallerRead(id, byte_count(static_cast<std::int64_t>(bytes)));
+}
+
+void caller_api::endLongestAnswer()
+{
+    const auto longest = std::max_element(m_sessions.begin(), m_sessions.end(),
+        [](const auto& a, const auto& b) { return a.second->bufferedBytes() < b.second->bufferedBytes(); });
+    const request_id id = longest->first;
+    sendError(id, { "runner_failed", "the answer is too long to buffer beside those of others", execution_outcome::Unknown, std::nullopt });
+    m_hooks.onAnswerTooLong(id);
+}
+
+std::shared_ptr<caller_session> caller_api::takeSession(const request_id& id)
+{
+    const auto found = m_sessions.find(id);
     if (found == m_sessions.end())
-        return;
+        return nullptr;
     const auto session = found->second;
     m_sessions.erase(found);
+    m_bufferedBytes -= session->bufferedBytes();
+    return session;
+}
+
+void caller_api::sendEnd(const answer_end_action& action)
+{
+    const auto session = takeSession(action.request);
+    if (!session)
+        return;
     m_metrics.countResponse("ok");
     if (action.httpStatus != 0)
         session->respondFromService(action.httpStatus, action.contentType, action.body);
@@ -219,11 +248,9 @@
 
 void caller_api::sendError(const request_id& id, const caller_error& error)
 {
-    const auto found = m_sessions.find(id);
-    if (found == m_sessions.end())
+    const auto session = takeSession(id);
+    if (!session)
         return;
-    const auto session = found->second;
-    m_sessions.erase(found);
     m_metrics.countResponse(error.code);
     session->fail(httpStatusFor(error.code), errorBody(error, id), retryAfterText(error.retryAfter));
 }
--- a/daemon/caller_api.h
+++ b/daemon/caller_api.h
@@ -31,10 +31,13 @@
         std::function<bool(caller_request)> onRequest;
         std::function<void(const request_id&)> onCallerDisconnected;
         std::function<void(const request_id&, byte_count)> onCallerRead;
+        // The caller got an error in place of the answer, which was too long to buffer; its request is to be cancelled.
+        std::function<void(const request_id&)> onAnswerTooLong;
     };
 
-    // `idPrefix` is the prefix of all request ids.
-    caller_api(std::string idPrefix, metrics&, hooks);
+    // `idPrefix` is the prefix of all request ids. Text of answers that are not streamed is buffered until their end, at most
+    // `maxBufferedBytes` of all together; beyond that, the longest answer ends with an error.
+    caller_api(std::string idPrefix, std::size_t maxBufferedBytes, metrics&, hooks);
     ~caller_api();
 
     void setDirectory(std::shared_ptr<const directory>);
@@ -58,14 +61,21 @@
     void reject(http_exchange&, const protocol_error&);
     void reject(http_exchange&, const request_id&, const caller_error&);
     request_id nextId();
+    void buffer(const request_id&, std::size_t bytes);
+    void endLongestAnswer();
+    // Returns the session, which no longer counts, or null if there is none.
+    std::shared_ptr<caller_session> takeSession(const request_id&);
 
     std::string m_idPrefix;
+    std::size_t m_maxBufferedBytes;
     metrics& m_metrics;
     hooks m_hooks;
     std::shared_ptr<const directory> m_directory;
     bool m_isReady = false;
     std::uint64_t m_lastRequestNumber = 0;
     std::unordered_map<request_id, std::shared_ptr<caller_session>> m_sessions;
+    // Over all sessions.
+    std::size_t m_bufferedBytes = 0;
 };
 
 }
--- a/daemon/caller_session.h
+++ b/daemon/caller_session.h
@@ -36,6 +36,8 @@
     std::int64_t onBodyWritten(std::size_t written);
 
     bool isStreaming() const { return m_stream; }
+    // Text of an answer that is not streamed.
+    std::size_t bufferedBytes() const { return m_text.size(); }
     bool hasStarted() const { return m_hasStarted; }
     std::chrono::steady_clock::time_point arrivalTime() const { return m_arrival; }
     const std::shared_ptr<http_exchange>& exchange() const { return m_exchange; }
--- a/daemon/entry_daemon.cpp
+++ b/daemon/entry_daemon.cpp
@@ -27,6 +27,14 @@
 
 constexpr std::chrono::milliseconds shutdownPollInterval(20);
 
+// The part of the callers' memory that answers may take while they are buffered until their end.
+constexpr std::size_t bufferedAnswersDivisor = 4;
+
+std::size_t maxBufferedAnswerBytes(const daemon_settings& settings)
+{
+    return callerLimitsFor(settings.memoryBytes, settings.maxDescriptors).bytes / bufferedAnswersDivisor;
+}
+
 entry_settings coreSettings(const daemon_settings& settings, incarnation number)
 {
     entry_settings core;
@@ -93,7 +101,7 @@
 entry_daemon::implementation::implementation(const daemon_settings& settings)
     : runtime(settings, runtimeHooks())
     , core(coreSettings(settings, runtime.ownIncarnation()), [this](const team_id& team) { return limitsOf(team); })
-    , api(idPrefix(settings, runtime.ownIncarnation()), runtime.counters(), callerHooks())
+    , api(idPrefix(settings, runtime.ownIncarnation()), maxBufferedAnswerBytes(settings), runtime.counters(), callerHooks())
     , server(
           runtime.net(), http_limits {},
           [this](const std::shared_ptr<http_exchange>& exchange) { api.handle(exchange); }, httpErrorBody,
@@ -146,6 +154,12 @@
     hooks.onCallerRead = [this](const request_id& id, byte_count bytes) {
         runtime.postOrderedEvent([this, id, bytes](time_point) { core.onCallerRead(id, bytes); });
     };
+    hooks.onAnswerTooLong = [this](const request_id& id) {
+        runtime.postOrderedEvent([this, id](time_point now) {
+            runtime.log({ "http", id, "[" + id.value() + "] Ended: its answer was the longest, and too much text waits for the end of answers." });
+            core.onCallerDisconnected(id, now);
+        });
+    };
     return hooks;
 }
 
--- a/tests/error/caller_api_test.cpp
+++ b/tests/error/caller_api_test.cpp
@@ -106,6 +106,55 @@
     EXPECT_EQ(stream.find("[DONE]"), std::string::npos) << stream;
 }
 
+// Guards against a runner whose tokens have any length: buffered until the end of the answer, they would take all memory of the entry.
+TEST_F(caller_api_test, buffersAreFull_longestAnswerEndsAndOthersStayWhole)
+{
+    configure();
+    const std::string request = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n" + key + "Content-Length: " + std::to_string(chatBody.size()) + "\r\n\r\n" + chatBody;
+    std::vector<raw_connection> callers;
+    for (std::size_t i = 0; i < 3; ++i) {
+        callers.push_back(raw_connection::to(port));
+        callers.back().send(request);
+        ASSERT_TRUE(events.until([&] { return arrived.size() == i + 1; }));
+    }
+    const std::string ordinary(maxBufferedBytes / 5, 'o');
+    net.run([&] {
+        api->sendPart({ arrived[0].id, 0, 1, ordinary });
+        for (std::uint32_t token = 0; token < 10; ++token)
+            api->sendPart({ arrived[1].id, token, 1, std::string(maxBufferedBytes / 10, 'x') });
+        api->sendPart({ arrived[2].id, 0, 1, ordinary });
+        api->sendEnd({ arrived[0].id, {}, 0, {}, {} });
+        api->sendEnd({ arrived[1].id, {}, 0, {}, {} });
+        api->sendEnd({ arrived[2].id, {}, 0, {}, {} });
+        return 0;
+    });
+    EXPECT_EQ(events.read(tooLong), std::vector<request_id> { arrived[1].id });
+    for (const std::size_t i : { 0U, 1U, 2U }) {
+        const std::string head = callers[i].receiveUntil("\r\n\r\n");
+        const std::size_t length = std::stoul(head.substr(head.find("Content-Length: ") + 16));
+        const auto body = nlohmann::json::parse(callers[i].receiveBytes(length));
+        if (i == 1) {
+            EXPECT_TRUE(head.starts_with("HTTP/1.1 502")) << head;
+            EXPECT_EQ(body["error"]["code"], "runner_failed");
+            EXPECT_EQ(body["error"]["execution"], "unknown");
+        } else {
+            EXPECT_TRUE(head.starts_with("HTTP/1.1 200")) << head;
+            EXPECT_EQ(body["choices"][0]["message"]["content"], ordinary);
+        }
+    }
+    // The text of answers that have ended does not count.
+    messageOf(exchange("POST /elsewhere", "{}", key), 404, "not_found");
+    auto next = raw_connection::to(port);
+    next.send(request);
+    ASSERT_TRUE(events.until([&] { return arrived.size() == 4; }));
+    net.run([&] {
+        api->sendPart({ arrived[3].id, 0, 1, std::string(maxBufferedBytes, 'y') });
+        api->sendEnd({ arrived[3].id, {}, 0, {}, {} });
+        return 0;
+    });
+    EXPECT_TRUE(next.receiveUntil("\r\n\r\n").starts_with("HTTP/1.1 200"));
+}
+
 // Guards against an answer that reaches another caller: an answer to a request that has ended is dropped.
 TEST_F(caller_api_test, answerForAnUnknownRequestIsDropped)
 {
--- a/tests/support/caller_fixture.h
+++ b/tests/support/caller_fixture.h
@@ -33,7 +33,8 @@
         };
         hooks.onCallerDisconnected = [](const request_id&) {};
         hooks.onCallerRead = [](const request_id&, byte_count) {};
-        api = std::make_unique<caller_api>("entry-0-1-", counters, std::move(hooks));
+        hooks.onAnswerTooLong = [this](const request_id& id) { events.change([&] { tooLong.push_back(id); }); };
+        api = std::make_unique<caller_api>("entry-0-1-", maxBufferedBytes, counters, std::move(hooks));
         server = std::make_unique<http_server>(
             net.net(), http_limits {}, [this](const std::shared_ptr<http_exchange>& exchange) { api->handle(exchange); },
             [](int, const std::string& text) { return text; });
@@ -95,6 +96,7 @@
         return body["error"]["message"].get<std::string>();
     }
 
+    static constexpr std::size_t maxBufferedBytes = 1000;
     const std::string key = "Authorization: Bearer secret\r\n";
     const std::string chatBody = R"({"model":"large","messages":[{"role":"user","content":"hi"}]})";
 
@@ -107,6 +109,7 @@
     bool takesRequests = true;
     // Guarded by `events`.
     std::vector<caller_request> arrived;
+    std::vector<request_id> tooLong;
 };
 
 }
