--- a/daemon/caller_api.cpp
+++ b/daemon/caller_api.cpp
@@ -228,7 +228,7 @@
     const auto found = m_sessions.find(id);
     if (found == m_sessions.end())
         return nullptr;
-    const auto session = found->second;
+    std::shared_ptr<caller_session> session = std::move(found->second);
     m_sessions.erase(found);
     m_bufferedBytes -= session->bufferedBytes();
     return session;
--- a/tests/fleet/entry_endless_response_test.cpp
+++ b/tests/fleet/entry_endless_response_test.cpp
@@ -1,6 +1,7 @@
 #include "tests/fleet/entry_fixture.h"
 #include "tests/support/scripted_server.h"
 
+#include <array>
 #include <fstream>
 
 namespace sardinelb::test {
@@ -84,9 +85,9 @@
     startStore();
     startEntry();
     const std::string longRequest = request("POST", "/book/long");
-    std::vector<std::shared_ptr<caller_result>> longAnswers;
-    for (int i = 0; i < 4; ++i)
-        longAnswers.push_back(startCall(m_settings.callerAddress, longRequest));
+    std::array<std::shared_ptr<caller_result>, 4> longAnswers;
+    for (auto& answer : longAnswers)
+        answer = startCall(m_settings.callerAddress, longRequest);
     runFor(milliseconds(400));
     const caller_result result = call(request("POST", "/book/ordinary"));
     EXPECT_EQ(result.status, 200);
