Take no answer to a call for one if its status or coding is none of HTTP

Callers got no such answers: both readers of answers to requests refuse them already.

Cause: the clients of calls (store, reports and orders of runners, table service) delivered whatever Boost.Beast parsed, which is any three digits as a status, and the coded bytes of any transfer coding but chunked.

Change: relay/response_validity holds the checks of runner_exchange and serves all four readers of answers. A call whose answer is none has no response, which for an order means that the rank's report decides.

Evidence: statusOutOfRange_noResponse (6 of 6 statuses), orderAnsweredWithStatusOutOfRange_unanswered ("Refused"), bodyWithATransferCoding_noResponse and bodyWithATransferCodingIsNoObject failed before the change and pass now; the tests of answers that count passed before and after.

--- a/relay/http_call_client.cpp
+++ b/relay/http_call_client.cpp
@@ -2,6 +2,7 @@
 
 #include "relay/bounded_parse.h"
 #include "relay/endpoint.h"
+#include "relay/response_validity.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -60,6 +61,7 @@
 
     std::shared_ptr<pooled_connection> takeIdle(const std::string& address);
     static bool hasReceivedNothing(pooled_connection&);
+    static bool isResponseValid(const pooled_connection&);
     void send(const std::shared_ptr<pooled_connection>&);
     void finish(const std::shared_ptr<pooled_connection>&, const error_code&);
 };
@@ -89,6 +91,13 @@
     return error == asio::error::would_block;
 }
 
+// A call may have been carried out although what it got is no response.
+bool http_call_client::implementation::isResponseValid(const pooled_connection& connection)
+{
+    const auto& message = connection.parser->get();
+    return isFinalStatus(message.result_int()) && isTransferCodingDecoded(message);
+}
+
 void http_call_client::implementation::send(const std::shared_ptr<pooled_connection>& connection)
 {
     http::async_write(connection->stream, connection->request, [self = shared_from_this(), connection](const error_code& error, std::size_t) {
@@ -108,7 +117,7 @@
 {
     connection->stream.expires_never();
     const response_handler onResponse = std::exchange(connection->onResponse, nullptr);
-    if (error) {
+    if (error || !isResponseValid(*connection)) {
         // Resets the connection, so that a call that is still in transit is not delivered after the client has given up on it.
         error_code ignored; // The socket may already be closed.
         connection->stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
--- a/relay/http_call_client.h
+++ b/relay/http_call_client.h
@@ -33,7 +33,7 @@
         std::vector<http_field> fields;
     };
 
-    // Called with nothing if no complete response arrived in time; the server may still have executed the call.
+    // Called with nothing if no complete and valid response arrived in time; the server may still have executed the call.
     using response_handler = std::function<void(std::optional<reply>)>;
 
     explicit http_call_client(boost::asio::any_io_executor);
--- a/relay/transfer_coding.cpp
+++ b/relay/response_validity.cpp
@@ -1,4 +1,4 @@
-#include "relay/transfer_coding.h"
+#include "relay/response_validity.h"
 
 #include <boost/beast/core/string.hpp>
 
@@ -6,6 +6,18 @@
 
 namespace http = boost::beast::http;
 
+namespace {
+
+constexpr unsigned firstFinalStatus = 200;
+constexpr unsigned lastFinalStatus = 599;
+
+}
+
+bool isFinalStatus(unsigned status)
+{
+    return status >= firstFinalStatus && status <= lastFinalStatus;
+}
+
 bool isTransferCodingDecoded(const http::fields& fields)
 {
     const auto codings = fields.count(http::field::transfer_encoding);
--- a/relay/runner_exchange.cpp
+++ b/relay/runner_exchange.cpp
@@ -4,7 +4,7 @@
 #include "relay/endpoint.h"
 #include "relay/head_lines.h"
 #include "relay/http_response_head.h"
-#include "relay/transfer_coding.h"
+#include "relay/response_validity.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -33,8 +33,7 @@
 constexpr std::uint32_t maxInterimResponses = 16;
 
 constexpr unsigned firstInterimStatus = 100;
-constexpr unsigned firstFinalStatus = 200;
-constexpr unsigned lastFinalStatus = 599;
+constexpr unsigned lastInterimStatus = 199;
 
 // Switching Protocols. No request asks for it, and what follows it is no HTTP.
 constexpr unsigned switchingProtocolsStatus = 101;
@@ -214,13 +213,13 @@
     if (hasHead || !parser->is_header_done())
         return false;
     const unsigned status = parser->get().result_int();
-    return status >= firstInterimStatus && status < firstFinalStatus && status != switchingProtocolsStatus;
+    return status >= firstInterimStatus && status <= lastInterimStatus && status != switchingProtocolsStatus;
 }
 
 bool runner_exchange::implementation::isHeadValid() const
 {
     const auto& head = parser->get();
-    return head.result_int() >= firstFinalStatus && head.result_int() <= lastFinalStatus && isTransferCodingDecoded(head);
+    return isFinalStatus(head.result_int()) && isTransferCodingDecoded(head);
 }
 
 bool runner_exchange::implementation::skipInterimHead()
--- a/tests/error/table_client_test.cpp
+++ b/tests/error/table_client_test.cpp
@@ -105,6 +105,30 @@
     }
 }
 
+// Guards against taking an answer that is none for a read, or for a write without effect.
+TEST(table_client_test, statusOutOfRangeIsUnknownForWritesOnly)
+{
+    for (const int status : { 100, 101, 600, 999 }) {
+        const call_results results = answering(status, "{}");
+        expectReads(results, state_errc::Unavailable);
+        expectWrites(results, state_errc::OutcomeUnknown);
+    }
+}
+
+// Guards against taking the bytes of a transfer coding for an object.
+TEST(table_client_test, bodyWithATransferCodingIsNoObject)
+{
+    const scripted_server server([](raw_connection& connection) {
+        connection.receiveUntil("\r\n\r\n");
+        connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n");
+        connection.shutdownSend();
+        connection.receiveAll();
+    });
+    const call_results results = callAll(server);
+    expectReads(results, state_errc::Unavailable);
+    expectWrites(results, state_errc::OutcomeUnknown);
+}
+
 TEST(table_client_test, status404IsAMissingRow)
 {
     const auto results = answering(404, "{}");
--- a/tests/fleet/call_client_test.cpp
+++ b/tests/fleet/call_client_test.cpp
@@ -1,3 +1,6 @@
+#include "expert_map/map_order.h"
+#include "expert_map/map_order_result.h"
+#include "platform/rank_client.h"
 #include "relay/http_call_client.h"
 #include "tests/support/scripted_server.h"
 
@@ -68,6 +71,15 @@
         return body;
     }
 
+    // Answers each call with these bytes and then closes the connection.
+    void startServerSending(const std::string& bytes)
+    {
+        m_server = std::make_unique<scripted_server>([bytes](raw_connection& connection) {
+            connection.receiveUntil("\r\n\r\n");
+            connection.send(bytes);
+        });
+    }
+
     std::atomic<int> m_connections = 0;
     std::unique_ptr<scripted_server> m_server;
     boost::asio::io_context m_context;
@@ -107,6 +119,47 @@
     EXPECT_EQ(m_connections, 1);
 }
 
+// Guards against an answer that is none but has a status: its call may have been carried out.
+TEST_F(call_client, statusOutOfRange_noResponse)
+{
+    for (const char* status : { "000", "099", "100", "101", "600", "999" }) {
+        startServerSending("HTTP/1.1 " + std::string(status) + " X\r\nContent-Length: 2\r\n\r\nok");
+        EXPECT_EQ(call("/first"), "no response") << status;
+    }
+}
+
+TEST_F(call_client, statusOfAnyAnswer_delivered)
+{
+    for (const char* status : { "200", "202", "299", "409", "503", "599" }) {
+        startServerSending("HTTP/1.1 " + std::string(status) + " X\r\nContent-Length: 2\r\n\r\nok");
+        EXPECT_EQ(call("/first"), "ok") << status;
+    }
+}
+
+// Guards against taking an answer that is none for a runner's refusal, after which its rank counts as not armed or not held.
+TEST_F(call_client, orderAnsweredWithStatusOutOfRange_unanswered)
+{
+    startServerSending("HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n");
+    platform::rank_client client(m_context.get_executor(), 1000);
+    map_order order;
+    order.action = map_order::kind::Arm;
+    std::optional<map_order_result> received;
+    client.send("127.0.0.1:" + std::to_string(m_server->port()), order, true, [&](map_order_result result) { received = result; });
+    const auto begin = std::chrono::steady_clock::now();
+    while (!received && std::chrono::steady_clock::now() - begin < seconds(5))
+        m_context.run_one_for(milliseconds(20));
+    EXPECT_EQ(received, map_order_result::Unanswered);
+}
+
+// Guards against taking the bytes of a transfer coding for the body.
+TEST_F(call_client, bodyWithATransferCoding_noResponse)
+{
+    startServerSending("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+    EXPECT_EQ(call("/first"), "no response");
+    startServerSending("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+    EXPECT_EQ(call("/first"), "ok");
+}
+
 // Guards against a trailer field that is too long for the parser, which throws and so ends the process.
 TEST_F(call_client, trailerFieldOf70000Bytes_noResponse)
 {
--- a/transport/blocking_http_client.cpp
+++ b/transport/blocking_http_client.cpp
@@ -1,6 +1,7 @@
 #include "transport/blocking_http_client.h"
 
 #include "relay/bounded_parse.h"
+#include "relay/response_validity.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -17,6 +18,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include <optional>
+#include <string>
 
 namespace sardinelb {
 
@@ -80,6 +82,10 @@
         co_return;
     }
     const auto& message = parser.get();
+    if (!isFinalStatus(message.result_int()) || !isTransferCodingDecoded(message)) {
+        result = requestError(transport_errc::BadMessage, address, "not a response: status " + std::to_string(message.result_int()));
+        co_return;
+    }
     result = http_response { static_cast<int>(message.result_int()),
         std::string(message[http::field::content_type]), message.body() };
 }
--- a/transport/runner_client.cpp
+++ b/transport/runner_client.cpp
@@ -2,7 +2,7 @@
 
 #include "relay/bounded_parse.h"
 #include "relay/head_lines.h"
-#include "relay/transfer_coding.h"
+#include "relay/response_validity.h"
 #include "state/bounded_json.h"
 #include "state/pool.h"
 #include "transport/net_thread.h"
@@ -99,8 +99,6 @@
     return status >= 100 && status < 200 && status != static_cast<unsigned>(http::status::switching_protocols);
 }
 
-bool isFinal(unsigned status) { return status >= 200 && status < 600; }
-
 // Whether the engine has refused the request before executing any of it.
 bool isRefusal(unsigned status)
 {
@@ -274,7 +272,7 @@
     if (call.isStopped)
         co_return;
     const auto& message = parser->get();
-    if (!isFinal(message.result_int())) {
+    if (!isFinalStatus(message.result_int())) {
         reportFailure(call, call_failure::Broken, "runner answered with status " + std::to_string(message.result_int()));
         co_return;
     }
