Read a model's runner on only while its text is processed

Cause: the network thread read as fast as the runner sent and queued the text for the decision thread, which holds a call only once it has seen more than the entry wants. On a busy processor it saw that late.

Change: runner_client asks, before each read, whether more than 1 MiB of text waits, and if so asks again after 5 ms.

--- a/daemon/agent_daemon.cpp
+++ b/daemon/agent_daemon.cpp
@@ -20,6 +20,9 @@
 // Time to send the last frames after the last attempt has ended.
 constexpr std::chrono::milliseconds finalFlushTime(200);
 
+// Most text of all calls that waits for the decision thread before the runner is read on. A runner in trouble sends it faster than that.
+constexpr std::size_t maxUnprocessedBytes = std::size_t { 1 } << 20U;
+
 agent_settings coreSettings(const daemon_settings& settings, incarnation number)
 {
     agent_settings core;
@@ -46,6 +49,8 @@
     std::atomic<bool> isIdle { true };
     std::atomic<bool> hasConfiguration { false };
     std::atomic<bool> isStopping { false };
+    // Text that the runner has sent and the decision thread has not seen.
+    std::atomic<std::size_t> unprocessedBytes { 0 };
 
     daemon_runtime runtime;
     runner_client runner;
@@ -82,9 +87,13 @@
     runner_client::hooks hooks;
     hooks.onTokens = [this](const attempt_id& attempt, std::uint32_t call, std::uint32_t first,
                          std::uint32_t tokens, std::string bytes) {
-        runtime.postOrderedEvent([this, attempt, call, first, tokens, bytes = std::move(bytes)](
-                                     time_point now) { core->onTokens(attempt, call, first, tokens, bytes, now); });
+        unprocessedBytes += bytes.size();
+        runtime.postOrderedEvent([this, attempt, call, first, tokens, bytes = std::move(bytes)](time_point now) {
+            core->onTokens(attempt, call, first, tokens, bytes, now);
+            unprocessedBytes -= bytes.size();
+        });
     };
+    hooks.isBehind = [this] { return unprocessedBytes > maxUnprocessedBytes; };
     hooks.onServiceAnswer = [this](const attempt_id& attempt, std::uint32_t call, int status, std::string type,
                                 std::string body) {
         runtime.postOrderedEvent([this, attempt, call, status, type = std::move(type), body = std::move(body)](
--- a/tests/error/runner_client_test.cpp
+++ b/tests/error/runner_client_test.cpp
@@ -6,7 +6,9 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <chrono>
+#include <limits>
 #include <memory>
 #include <string>
 #include <thread>
@@ -77,6 +79,7 @@
             recordOutcome("failed " + nameOf(failure));
         };
         hooks.onProbeResult = [](bool) {};
+        hooks.isBehind = [this] { return tokens >= tokensUntilBehind; };
         client = std::make_unique<runner_client>(
             net.net(), socket_address { "127.0.0.1", server.port() }, std::move(hooks));
         start_call_action action;
@@ -85,7 +88,7 @@
         action.submit.method = method;
         action.submit.target = "/bookings";
         action.submit.body = std::string(uploadBytes, 'u');
-        action.submit.maxTokens = 2;
+        action.submit.maxTokens = maxTokens;
         action.call = 1;
         net.run([&] {
             client->start(action);
@@ -120,23 +123,26 @@
     std::unique_ptr<runner_client> client;
     std::string method = "POST";
     std::size_t uploadBytes = 0;
+    std::uint32_t maxTokens = 2;
+    // The client is told that it is behind once it has read so many tokens.
+    std::atomic<std::uint32_t> tokensUntilBehind { std::numeric_limits<std::uint32_t>::max() };
     // Guarded by `events`.
     std::vector<std::string> outcomes;
-    std::uint32_t tokens = 0;
+    std::atomic<std::uint32_t> tokens { 0 };
 };
 
 TEST_F(runner_client_test, wholeStreamCompletes)
 {
     EXPECT_EQ(callRespondingWith(streamHead + chunk(tokenLine(0)) + chunk(tokenLine(1) + doneLine) + "0\r\n\r\n"),
         "completed 3+2");
-    EXPECT_EQ(events.read(tokens), 2U);
+    EXPECT_EQ(tokens, 2U);
 }
 
 TEST_F(runner_client_test, lineAcrossTwoChunksIsPutTogether)
 {
     const std::string line = tokenLine(0);
     EXPECT_EQ(callRespondingWith(streamHead + chunk(line.substr(0, 5)) + chunk(line.substr(5) + doneLine)), "completed 3+2");
-    EXPECT_EQ(events.read(tokens), 1U);
+    EXPECT_EQ(tokens, 1U);
 }
 
 // Guards against taking a head that a service broke off for that of a whole answer with an empty body.
@@ -383,7 +389,34 @@
 TEST_F(runner_client_test, linesAfterTheLastAreIgnored)
 {
     EXPECT_EQ(callRespondingWith(streamHead + chunk(tokenLine(0) + doneLine + tokenLine(1) + doneLine)), "completed 3+2");
-    EXPECT_EQ(events.read(tokens), 1U);
+    EXPECT_EQ(tokens, 1U);
+}
+
+// Guards against text without bound that is read faster than it is processed.
+TEST_F(runner_client_test, streamIsNotReadOnWhileTextWaits)
+{
+    maxTokens = 20000;
+    tokensUntilBehind = 10;
+    std::atomic<std::uint32_t> tokensAtPause { 0 };
+    const scripted_server server([&](raw_connection& connection) {
+        connection.receiveUntil("\r\n\r\n");
+        connection.send(streamHead);
+        // What the sockets hold does not count, so the pause comes before they are full.
+        std::string lines;
+        for (std::uint32_t index = 0; index < maxTokens; ++index)
+            lines += tokenLine(static_cast<int>(index));
+        connection.send(chunk(lines.substr(0, lines.size() / 2)));
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        tokensAtPause = tokens.load();
+        tokensUntilBehind = std::numeric_limits<std::uint32_t>::max();
+        connection.send(chunk(lines.substr(lines.size() / 2) + doneLine));
+        connection.receiveAll();
+    });
+    EXPECT_EQ(call(server), "completed 3+2");
+    // One read brings at most 16 KiB.
+    EXPECT_GE(tokensAtPause, 10U);
+    EXPECT_LT(tokensAtPause, 1000U);
+    EXPECT_EQ(tokens, 20000U);
 }
 
 TEST_F(runner_client_test, malformedLineAfterTheLastIsIgnored)
--- a/transport/runner_client.cpp
+++ b/transport/runner_client.cpp
@@ -49,6 +49,8 @@
 // Consecutive failed probes after which the runner counts as unreachable.
 constexpr int maxProbeFailures = 3;
 constexpr std::size_t readBlockBytes = 16384;
+// Interval of asking whether received text still waits to be processed.
+constexpr std::chrono::milliseconds behindPollInterval(5);
 // A token takes far less; the limit keeps an endless line from exhausting memory.
 constexpr std::size_t maxLineBytes = std::size_t { 64 } * 1024;
 constexpr std::uint64_t maxServiceResponseBytes = 4U << 20U;
@@ -301,8 +303,8 @@
     std::array<char, readBlockBytes> block {};
     bool done = false;
     while (!done && !parser->is_done()) {
-        while (call.isPaused && !call.isStopped) {
-            call.resumed.expires_at(std::chrono::steady_clock::time_point::max());
+        while ((call.isPaused || handlers.isBehind()) && !call.isStopped) {
+            call.resumed.expires_at(call.isPaused ? std::chrono::steady_clock::time_point::max() : std::chrono::steady_clock::now() + behindPollInterval);
             co_await call.resumed.async_wait(asTuple);
         }
         parser->get().body().data = block.data();
--- a/transport/runner_client.h
+++ b/transport/runner_client.h
@@ -28,6 +28,8 @@
             onServiceAnswer;
         std::function<void(const attempt_id&, std::uint32_t call, token_usage)> onCallCompleted;
         std::function<void(const attempt_id&, std::uint32_t call, call_failure, std::string detail)> onCallFailed;
+        // Whether so much received text waits to be processed that no more is to be read.
+        std::function<bool()> isBehind = [] { return false; };
         // Result of the periodic probe.
         std::function<void(bool reachable)> onProbeResult;
     };
