--- a/tests/process/broken_answers.py
+++ b/tests/process/broken_answers.py
@@ -50,7 +50,7 @@
 
 
 class Answer:
-    """What a runner sends: `bytes`, with MARKS replaced by the fields that name the request, and how it ends the connection."""
+    """What a runner sends: `sent`, with MARKS replaced by the fields that name the request, and how it ends the connection."""
 
     def __init__(self, sent, end="keep", status=200, body=None, is_upload=False, repeated=b"", pause_s=0):
         self.sent = sent
@@ -59,7 +59,9 @@
         self.status = status
         # The body that the client has to receive; None for a broken answer.
         self.body = body
+        # The runner answers before it has read the body of the request.
         self.is_upload = is_upload
+        # Sent again and again after `sent`, with a pause between.
         self.repeated = repeated
         self.pause_s = pause_s
 
@@ -158,6 +160,10 @@
 CASES = {**BROKEN, **ALLOWED, **ENDLESS}
 
 
+def chosen(cases, options):
+    return [name for name in cases if not options.case or name in options.case]
+
+
 async def serve_answer(reader, writer, answer, marks):
     """Sends an answer and ends the connection as it says."""
     writer.write(answer.sent.replace(MARKS, marks))
@@ -418,6 +424,9 @@
         attempt = self.installation.next_attempt()
         return attempt, request_bytes("POST", f"/{path}/x/" + name.replace(" ", "_"), attempt, 8000, body=body)
 
+    async def check_endless(self):
+        return await check_endless_cases(self)
+
     @staticmethod
     def is_ordinary(received, attempt):
         return received.status == 200 and received.body == b"for " + attempt.encode()
@@ -453,10 +462,10 @@
     def processes(self):
         return {**super().processes(), "agent": (self.agent.process.pid, self.agent.process.returncode is None)}
 
-    async def check(self):
+    async def check_endless(self):
         """Gives each answer to all calls for a while. Returns what is wrong."""
         problems = []
-        for name in [name for name in ENDLESS if not self.options.case or name in self.options.case]:
+        for name in chosen(ENDLESS, self.options):
             before = (self.agent_runner.served, self.installation.store.served)
             self.agent_runner.answer = ENDLESS[name]
             self.installation.store.give(ENDLESS[name])
@@ -542,6 +551,10 @@
         return "", (f"POST {self.fleet.deployment['path']} HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer {key}\r\n"
                     f"Content-Length: {len(body)}\r\n\r\n").encode() + body
 
+    async def check_endless(self):
+        problems = await check_endless_cases(self)
+        return problems if self.options.case else problems + await self.check_tokens()
+
     async def check_tokens(self):
         """Asks for answers of a model that are buffered until their end. Returns what is wrong."""
         chat = json.dumps({"model": "M-1", "max_tokens": MAX_TOKENS, "messages": [{"role": "user", "content": "hello"}]}).encode()
@@ -621,7 +634,7 @@
 async def check_answers(target):
     problems = []
     client = Client(target.address)
-    for name in target.options.case or [*BROKEN, *ALLOWED]:
+    for name in chosen([*BROKEN, *ALLOWED], target.options):
         for path in target.paths():
             problems += await check_answer(target, client, path, name)
             await asyncio.sleep(REFUSAL_S)
@@ -629,31 +642,35 @@
     return problems
 
 
-async def check_endless(target):
-    """Clients ask for answers without end at the same time, beside another client that is served all the while."""
+async def check_endless_cases(target):
+    """Lets several clients ask for each answer without end at the same time. Returns what is wrong."""
     problems = []
-
-    async def serve_ordinary():
-        client = Client(target.address)
-        while True:
-            attempt, request = target.request(target.paths()[0], "ordinary", b"b")
-            received = await client.ask(request)
-            if not (received.is_complete and target.is_ordinary(received, attempt)):
-                problems.append(f"{target.name}: another client gets {received.status} {received.body[:60]}")
-            await asyncio.sleep(0.05)
-
-    ordinary = asyncio.ensure_future(serve_ordinary())
-    if isinstance(target, Controls):
-        problems += await target.check()
-    for name in [] if isinstance(target, Controls) else [name for name in ENDLESS if not target.options.case or name in target.options.case]:
+    for name in chosen(ENDLESS, target.options):
         clients = [Client(target.address) for _ in range(ENDLESS_CLIENTS)]
         for found in await asyncio.gather(*(check_answer(target, client, target.paths()[0], name) for client in clients)):
             problems += found
         for client in clients:
             client.close()
         problems += [f"{target.name} '{name}': {text}" for text in process_problems(target)]
-    if isinstance(target, Daemon) and not target.options.case:
-        problems += await target.check_tokens()
+    return problems
+
+
+async def serve_ordinary(target, problems):
+    """Asks for ordinary answers until it is cancelled."""
+    client = Client(target.address)
+    while True:
+        attempt, request = target.request(target.paths()[0], "ordinary", b"b")
+        received = await client.ask(request)
+        if not (received.is_complete and target.is_ordinary(received, attempt)):
+            problems.append(f"{target.name}: another client gets {received.status} {received.body[:60]}")
+        await asyncio.sleep(0.05)
+
+
+async def check_endless(target):
+    """Plays answers without end beside another client that is served all the while."""
+    problems = []
+    ordinary = asyncio.ensure_future(serve_ordinary(target, problems))
+    problems += await target.check_endless()
     ordinary.cancel()
     return problems
 
