--- a/fleet/entry_context.cpp
+++ b/fleet/entry_context.cpp
@@ -5,7 +5,6 @@
 #include "fleet/request_relay.h"
 #include "fleet/request_totals.h"
 #include "fleet/steady_time.h"
-#include "relay/memory_limits.h"
 #include "serving/backlog.h"
 #include "serving/retry_delay.h"
 #include "serving/route_index.h"
@@ -25,16 +24,6 @@
 // The number of live entries is known at least this often.
 constexpr duration entryCountInterval = std::chrono::seconds(1);
 
-// Most that is buffered of all responses together: a part of the callers' memory, of which buffered responses take twice their bytes,
-// so that responses without end leave other callers half of it.
-constexpr std::size_t bufferedResponsesDivisor = 4;
-constexpr std::size_t maxBufferedResponseBytes = 33554432;
-
-std::size_t maxBufferedResponseBytesFor(const platform::settings& settings)
-{
-    return std::min(maxBufferedResponseBytes, callerLimitsFor(settings.memoryBytes, settings.descriptors).bytes / bufferedResponsesDivisor);
-}
-
 }
 
 entry_context::entry_context(boost::asio::any_io_executor executor, const platform::settings& settings, event_log& log, process_metrics& metrics)
@@ -50,7 +39,6 @@
     , m_startedAt(steadyNow())
     , m_dispatchTimer(m_executor)
 {
-    m_totals->maxBufferedResponseBytes = maxBufferedResponseBytesFor(settings);
     m_runners.setProcessStart(m_startedAt);
     m_promptGuard.setRequestCheck([this] { forEachRequest([](request_relay& relay) { relay.onQuarantine(); }); });
 }
--- a/fleet/request_relay_response.cpp
+++ b/fleet/request_relay_response.cpp
@@ -21,10 +21,11 @@
 
 constexpr std::chrono::milliseconds backlogCheckInterval { 20 };
 
-// Most that is buffered of a response: of one that is no stream, and of one event of a stream. A runner in trouble may send bytes
-// without end.
+// Most that is buffered of a response: of one that is no stream, of one event of a stream, and of all responses together. A runner in
+// trouble may send bytes without end.
 constexpr std::size_t maxBodyBytes = 8388608;
 constexpr std::size_t maxEventBytes = 1048576;
+constexpr std::size_t maxBufferedResponseBytes = 33554432;
 
 // Memory of a buffered response in proportion to its bytes. Buffers grow, and whole events are copied before they are sent.
 constexpr std::size_t bufferedMemoryFactor = 2;
@@ -140,7 +141,7 @@
     m_bufferedBytes = allBytes;
     if (bytes > (m_attempt.isRelayingStream ? maxEventBytes : maxBodyBytes))
         return false;
-    while (isGrowing && total > m_totals->maxBufferedResponseBytes) {
+    while (isGrowing && total > maxBufferedResponseBytes) {
         if (!endLargerResponse())
             return false;
     }
--- a/fleet/request_totals.h
+++ b/fleet/request_totals.h
@@ -10,7 +10,6 @@
     std::size_t activeRequests = 0;
     // Bytes of responses that are held until their end, or until that of an event.
     std::size_t bufferedResponseBytes = 0;
-    std::size_t maxBufferedResponseBytes = 0;
 };
 
 }
