Process tests: one reader of a process's peak memory; drop dead code

broken_answers.py had a copy of Usage.peak_bytes, an identify() that nothing called, and counted each call to the store twice. The checks are the same; a call counts once its head has arrived. Run after it: all cases of fleet and daemon, one case of controls and of uncontrolled_clients; all passed.

--- a/tests/process/broken_answers.py
+++ b/tests/process/broken_answers.py
@@ -22,7 +22,7 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import uncontrolled_clients  # noqa: E402
-from uncontrolled_clients import FleetInstallation, MEBIBYTE, demo_fleet, stand_ins  # noqa: E402
+from uncontrolled_clients import FleetInstallation, MEBIBYTE, demo_fleet, peak_bytes, stand_ins  # noqa: E402
 from installation import HOST, CannotRun, Store, request_bytes  # noqa: E402
 
 SERVICE = "wuno96b"
@@ -265,9 +265,6 @@
 
     answer = None
 
-    async def identify(self, *_):
-        return "", b""
-
     async def serve(self, reader, writer):
         if not self.answer:
             writer.close()
@@ -303,7 +300,6 @@
         if not self.answer:
             await super().serve(reader, writer)
             return
-        self.served += 1
         await AgentRunner.serve(self, reader, writer)
 
 
@@ -582,14 +578,6 @@
         return ""
 
 
-def peak_bytes(pid):
-    try:
-        with open(f"/proc/{pid}/status", encoding="ascii") as file:
-            return next(int(line.split()[1]) * 1024 for line in file if line.startswith("VmHWM:"))
-    except (OSError, StopIteration):
-        return 0
-
-
 def process_problems(target):
     """Returns what is wrong with the processes: ended, or beyond the memory of their machine."""
     problems = []
--- a/tests/process/uncontrolled_clients.py
+++ b/tests/process/uncontrolled_clients.py
@@ -288,6 +288,15 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
 
+def peak_bytes(pid):
+    """Peak resident memory of a process since its start; 0 if it has ended."""
+    try:
+        with open(f"/proc/{pid}/status", encoding="ascii") as file:
+            return next(int(line.split()[1]) * 1024 for line in file if line.startswith("VmHWM:"))
+    except (OSError, StopIteration):
+        return 0
+
+
 class Usage:
     """Peak use of the process since its start."""
 
@@ -312,11 +321,7 @@
         self.unread_bytes = max(self.unread_bytes, sum(int(row[4].split(":")[1], 16) for row in rows if row[9] in inodes and row[3] == "01"))
 
     def peak_bytes(self):
-        try:
-            with open(f"/proc/{self.target.pid}/status", encoding="ascii") as file:
-                return next(int(line.split()[1]) * 1024 for line in file if line.startswith("VmHWM:"))
-        except (OSError, StopIteration):
-            return 0
+        return peak_bytes(self.target.pid)
 
 
 def announced_far_over_limit(target, clients, crowd):
