--- a/review/stand_ins_3/runner.py
+++ b/review/stand_ins_3/runner.py
@@ -5,7 +5,9 @@
 time between two of them. An answer has neither a length nor chunks and ends with its connection, as the pages allow; on a `streaming` route a part is
 an event.
 
-    runner.py --ip IP --port N --id ID --service NAME --store IP:PORT --heartbeat-s S --log FILE
+    runner.py --ip IP --port N --id ID --service NAME --store IP:PORT --log FILE [--address IP:PORT] [--heartbeat-s S]
+
+`--address` is where others reach it, if that is not where it listens.
 
 SIGUSR1 is the notice that it leaves: it reports `draining` and says `Server-Leaving: 1` in its answers from then on.
 """
@@ -44,7 +46,7 @@
 
     def row(self):
         self.seq += 1
-        return json.dumps({"service": self.options.service, "address": f"{self.options.ip}:{self.options.port}", "zone": "zone-a",
+        return json.dumps({"service": self.options.service, "address": self.options.address or f"{self.options.ip}:{self.options.port}", "zone": "zone-a",
                            "version": "v1", "slots": 6, "state": "draining" if self.is_leaving else "ready", "cold_left_ms": 0,
                            "seq": self.seq, "born": self.born})
 
@@ -113,6 +115,7 @@
     for name in ("ip", "id", "service", "store", "log"):
         parser.add_argument("--" + name, required=True)
     parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--address")
     parser.add_argument("--heartbeat-s", type=float, default=1.2)
     asyncio.run(Runner(parser.parse_args()).run())
 
