--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,6 +1,7 @@
-"""Many clients send chunked bodies in very small chunks without an end, and ordinary callers ask on new connections meanwhile."""
+"""Many clients send chunked bodies in very small chunks, stop just short of the end and stay open. Ordinary callers ask on new connections."""
 
 import asyncio
+import itertools
 import os
 import sys
 import time
@@ -16,6 +17,8 @@
 CROWD = 3100
 CHUNKS = b"1\r\nx\r\n" * 200
 PAUSE_S = 0.7
+# A body of 4,000 bytes, which takes 14 s. Its last chunk never comes.
+PIECES = 20
 CROWD_S = 16
 ORDINARY = 8
 DEADLINE_MS = 3000
@@ -32,9 +35,12 @@
         counts["opened"] += 1
         try:
             writer.write(http_parts.head_bytes("POST /look/1-1 HTTP/1.1", {"Host": HOST, "Attempt-Id": installation.next_attempt(), "Transfer-Encoding": "chunked"}))
-            while time.monotonic() < until and not reader.at_eof():
-                writer.write(CHUNKS)
-                await writer.drain()
+            for piece in itertools.count():
+                if time.monotonic() >= until or reader.at_eof():
+                    break
+                if piece < PIECES:
+                    writer.write(CHUNKS)
+                    await writer.drain()
                 await asyncio.sleep(PAUSE_S)
         except ConnectionError:
             pass
