--- a/review/stand_ins_3/installation.py
+++ b/review/stand_ins_3/installation.py
@@ -33,6 +33,7 @@
           "retry_ratio": 0.2, "retry_window_s": 10, "retry_slack": 88, "recover_s": 12, "event_delay_ms": 120, "retry_after_s": 0,
           "stall_ms": 1500, "enforce_fencing": False}
 LIMITS = {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
+SIDE_MACHINE = {"cpu_share": 0.15, "cores": 1, "memory_mb": 128, "max_fds": 2048, "link_mbps": 20.0, "disk_mb": 0}
 MACHINE = {"cpu_share": 0.19, "cores": 1, "memory_mb": 260, "max_fds": 4200, "link_mbps": 1000.0, "disk_mb": 0}
 
 
@@ -137,27 +138,42 @@
                  "limits": LIMITS, "tenants": [{"name": "hule930", "api_keys": [KEY], "priority": 1}]}
         await self.store.put("op", "config", json.dumps(value))
 
-    async def start_entries(self, machine=None):
+    @staticmethod
+    def command(role):
         with open(os.path.join(ROOT, "deploy/system.toml"), "rb") as file:
-            command = tomllib.load(file)["roles"]["entry"]["run"].split(" ")
+            command = tomllib.load(file)["roles"][role]["run"].split(" ")
         if not os.path.exists(os.path.join(ROOT, command[0])):
             raise CannotRun("the build of the deploy file is missing")
+        return command
+
+    def settings(self, node, role, ip, ports, machine):
+        return {"node": node, "role": role, "ip": ip, "zone": "zone-a", "region": "region", "zones": {"zone-a": "region"},
+                "port_range": [ports, ports + PEER_PORTS - 1], "seeds": [], "bootstrap": True, "limits": machine, "discovery": "platform", "entry": "vip",
+                "heartbeat_ms": int(HEARTBEAT_S * 1000), "bounds": BOUNDS,
+                "platform": {"address": "%s:%d" % self.store.address, "form": "table", "writes_per_s": 400, "reads_per_s": 2000}}
+
+    def start_daemon(self, settings):
+        path = os.path.join(self.folder, settings["node"] + ".json")
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump(settings, file)
+        return self.spawn(self.command(settings["role"]), settings["node"] + ".log", {"PATH": os.environ["PATH"], "SARDINELB_CONFIG": path})
+
+    async def start_entries(self):
         port = free_ports(self.ip(1), PEER_PORTS + 2)
         for number in range(1, self.entry_count + 1):
             ip = self.ip(number)
-            settings = {"node": f"edge-{number}", "role": "entry", "machine_class": "edge", "serves": ["edge"], "ip": ip, "zone": "zone-a",
-                        "region": "region", "zones": {"zone-a": "region"}, "listen": {"front": f"{ip}:{port + PEER_PORTS}", "ready_addr": f"{ip}:{port + PEER_PORTS + 1}"},
-                        "port_range": [port, port + PEER_PORTS - 1], "seeds": [], "bootstrap": True, "limits": {**MACHINE, **(machine or {})},
-                        "discovery": "platform", "entry": "vip", "heartbeat_ms": int(HEARTBEAT_S * 1000), "bounds": BOUNDS,
-                        "platform": {"address": "%s:%d" % self.store.address, "form": "table", "writes_per_s": 400, "reads_per_s": 2000}}
-            path = os.path.join(self.folder, f"edge-{number}.json")
-            with open(path, "w", encoding="utf-8") as file:
-                json.dump(settings, file)
-            process = self.spawn(command, f"entry-{number}.log", {"PATH": os.environ["PATH"], "SARDINELB_CONFIG": path})
+            settings = {**self.settings(f"edge-{number}", "entry", ip, port, MACHINE), "machine_class": "edge", "serves": ["edge"],
+                        "listen": {"front": f"{ip}:{port + PEER_PORTS}", "ready_addr": f"{ip}:{port + PEER_PORTS + 1}"}}
+            process = self.start_daemon(settings)
             self.entries.append((process, (ip, port + PEER_PORTS), (ip, port + PEER_PORTS + 1)))
         for number in range(self.entry_count):
             await self.wait_ready(number)
 
+    def agent_settings(self, number, ports, runner):
+        """Settings of an agent on a machine with its runner."""
+        return {**self.settings(f"side-{number}", "agent", runner[0], ports, SIDE_MACHINE), "machine_class": "side", "serves": ["side"], "listen": {},
+                "app": "%s:%d" % runner, "service": "huvo11a"}
+
     async def is_ready(self, number):
         try:
             reader, writer = await asyncio.wait_for(asyncio.open_connection(*self.entries[number][2]), 1)
