--- a/review/12/case.py
+++ b/review/12/case.py
@@ -68,6 +68,14 @@
         await asyncio.sleep(1)
 
 
+def describe_process(pid):
+    with open(f"/proc/{pid}/status", encoding="ascii") as file:
+        memory = " ".join(line.strip() for line in file if line.startswith(("VmRSS:", "VmHWM:")))
+    with open(f"/proc/{pid}/stat", encoding="ascii") as file:
+        ticks = sum(int(value) for value in file.read().rsplit(")", 1)[1].split()[11:13])
+    return f"{memory}, {ticks / os.sysconf('SC_CLK_TCK'):.1f} s of processor time"
+
+
 async def run():
     async with Installation(os.path.join(HERE, "record.txt")) as installation:
         await installation.configure([route("look", "safe", DEADLINE_MS)])
@@ -80,10 +88,13 @@
         crowd = [asyncio.ensure_future(misbehave(installation, until, counts)) for _ in range(CROWD if TROUBLE else 0)]
         await asyncio.sleep(5)
         installation.record(f"crowd: {counts['opened']} connections opened, {counts['ended']} ended")
+        pid = installation.entries[0][0].pid
+        installation.record("entry before the ordinary callers: " + describe_process(pid))
         outcomes, ready = [], []
         asked_at = time.monotonic()
         await asyncio.gather(watch_ready(installation, until, ready), *(ask(installation, until, outcomes) for _ in range(ORDINARY)))
         seconds = time.monotonic() - asked_at
+        installation.record("entry after them: " + describe_process(pid))
         await asyncio.gather(*crowd)
         installation.record(f"crowd: {counts['opened']} connections opened, {counts['ended']} ended")
         answered = sum(1 for _, status in outcomes if status > 0)
