--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,114 +1,64 @@
-"""Many clients send chunked bodies in very small chunks, stop just short of the end and stay open. Ordinary callers ask on new connections."""
+"""A runner crashes and starts again while it is cut off from an entry to which it writes answers that end with their connection."""
 
 import asyncio
-import itertools
 import os
 import sys
-import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "stand_ins_3"))
 
-import http_parts  # noqa: E402
-from installation import BOUNDS, HOST, CannotRun, Installation, route  # noqa: E402
+import runner as stand_in  # noqa: E402
+from cut_link import CutLink  # noqa: E402
+from installation import CannotRun, Installation, route  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-# What a machine of 4,200 descriptors keeps for callers, and some more.
-CROWD = 3100
-CHUNKS = b"1\r\nx\r\n" * 200
-PAUSE_S = 0.7
-# A body of 4,000 bytes, which takes 14 s. Its last chunk never comes.
-PIECES = 20
-CROWD_S = 16
-ORDINARY = 8
-DEADLINE_MS = 3000
+# `srv_cut` lasts 5 s.
+CUT_S = 4.0
+DEADLINE_MS = 8000
+# Answers of 2 s.
+WORK = "20-100"
+REQUESTS = (("GET", f"/look/{WORK}"), ("GET", f"/look/{WORK}"), ("POST", f"/book/{WORK}"), ("POST", f"/book/{WORK}"))
 
 
-async def misbehave(installation, until, counts):
-    """Comes again when the entry ends its connection, until `until`."""
-    while time.monotonic() < until:
-        try:
-            reader, writer = await asyncio.open_connection(*installation.entries[0][1])
-        except OSError:
-            await asyncio.sleep(1)
-            continue
-        counts["opened"] += 1
-        try:
-            writer.write(http_parts.head_bytes("POST /look/1-1 HTTP/1.1", {"Host": HOST, "Attempt-Id": installation.next_attempt(), "Transfer-Encoding": "chunked"}))
-            for piece in itertools.count():
-                if time.monotonic() >= until or reader.at_eof():
-                    break
-                if piece < PIECES:
-                    writer.write(CHUNKS)
-                    await writer.drain()
-                await asyncio.sleep(PAUSE_S)
-        except ConnectionError:
-            pass
-        finally:
-            counts["ended"] += 1
-            writer.close()
-        await asyncio.sleep(1)
-
-
-async def ask(installation, until, outcomes):
-    """An ordinary caller: asks on a new connection, and comes again after a second if that was closed."""
-    while time.monotonic() < until:
-        try:
-            answer = await asyncio.wait_for(installation.call(0, "GET", "/look/1-1", DEADLINE_MS), 3)
-            outcomes.append((time.monotonic(), answer.status))
-        except (OSError, asyncio.TimeoutError) as error:
-            installation.record(f"no connection: {type(error).__name__}")
-            outcomes.append((time.monotonic(), -1))
-        await asyncio.sleep(0.5)
-
-
-async def watch_ready(installation, until, ready):
-    while time.monotonic() < until:
-        ready.append((time.monotonic(), await installation.is_ready(0)))
-        await asyncio.sleep(1)
-
-
-def describe_process(pid):
-    with open(f"/proc/{pid}/status", encoding="ascii") as file:
-        memory = " ".join(line.strip() for line in file if line.startswith(("VmRSS:", "VmHWM:")))
-    with open(f"/proc/{pid}/stat", encoding="ascii") as file:
-        ticks = sum(int(value) for value in file.read().rsplit(")", 1)[1].split()[11:13])
-    return f"{memory}, {ticks / os.sysconf('SC_CLK_TCK'):.1f} s of processor time"
+def is_broken(installation, attempt, target, answer):
+    """MIXED: a success that looks complete with a body that is not the runner's whole body."""
+    whole = b"".join(stand_in.parts_of(attempt, target))
+    if not 200 <= answer.status < 300 or not answer.is_complete or answer.body == whole:
+        return False
+    installation.record(f"BROKEN MIXED: {attempt} {target} got {len(answer.body)} of {len(whole)} bytes as a complete answer with status {answer.status}")
+    return True
 
 
 async def run():
     async with Installation(os.path.join(HERE, "record.txt")) as installation:
-        await installation.configure([route("look", "safe", DEADLINE_MS)])
+        await installation.configure([route("look", "safe", DEADLINE_MS), route("book", "unsafe", DEADLINE_MS, attempts=1)])
         await installation.start_entries()
-        await installation.start_runner("i-1", installation.runner_address(101))
-        await asyncio.sleep(3.5)
-        began = time.monotonic()
-        until = began + CROWD_S
-        counts = {"opened": 0, "ended": 0}
-        crowd = [asyncio.ensure_future(misbehave(installation, until, counts)) for _ in range(CROWD if TROUBLE else 0)]
-        await asyncio.sleep(5)
-        installation.record(f"crowd: {counts['opened']} connections opened, {counts['ended']} ended")
-        pid = installation.entries[0][0].pid
-        installation.record("entry before the ordinary callers: " + describe_process(pid))
-        outcomes, ready = [], []
-        asked_at = time.monotonic()
-        await asyncio.gather(watch_ready(installation, until, ready), *(ask(installation, until, outcomes) for _ in range(ORDINARY)))
-        seconds = time.monotonic() - asked_at
-        installation.record("entry after them: " + describe_process(pid))
-        await asyncio.gather(*crowd)
-        installation.record(f"crowd: {counts['opened']} connections opened, {counts['ended']} ended")
-        answered = sum(1 for _, status in outcomes if status > 0)
-        is_always_ready = all(value for _, value in ready)
-        installation.record(f"{ORDINARY} ordinary callers tried {len(outcomes)} times in {seconds:.1f} s: {answered} answered; ready at each of {len(ready)} questions: {is_always_ready}")
-        window_s = BOUNDS["stable_window_ms"] / 1000
-        longest, since = 0.0, asked_at
-        for at, status in sorted(outcomes):
-            longest = max(longest, at - since)
-            if status > 0:
-                since = at
-        longest = max(longest, asked_at + seconds - since)
-        installation.record(f"longest time without an answer on a new connection: {longest:.1f} s, the bound is {window_s:.0f} s")
-        return 1 if longest > window_s and is_always_ready else 0
+        address = installation.runner_address(101)
+        link = CutLink(installation.runner_address(102), address)
+        await link.start()
+        first = await installation.start_runner("i-1", address, link.address)
+        await asyncio.sleep(1.5)
+        calls = []
+        for method, target in REQUESTS:
+            attempt = installation.next_attempt()
+            calls.append((attempt, target, asyncio.ensure_future(installation.call(0, method, target, DEADLINE_MS, attempt))))
+        await asyncio.sleep(0.6)
+        if TROUBLE:
+            link.cut()
+            installation.record("i-1 is cut off from the entry")
+            await asyncio.sleep(0.3)
+            first.kill()
+            first.wait()
+            installation.record("i-1 has crashed")
+            await asyncio.sleep(1)
+            await installation.start_runner("i-2", address, link.address)
+            await asyncio.sleep(CUT_S - 1.3)
+            link.heal()
+            installation.record("the cut has healed")
+        broken = [is_broken(installation, attempt, target, await call) for attempt, target, call in calls]
+        installation.record(f"{sum(broken)} of {len(broken)} answers broke a rule")
+        link.stop()
+        return 1 if any(broken) else 0
 
 
 if __name__ == "__main__":
