--- a/review/stand_ins_3/model_runner.py
+++ b/review/stand_ins_3/model_runner.py
@@ -1,9 +1,9 @@
 """A stand-in of a model runner beside an agent, one process: its report, and what it says of the experts that were chosen.
 
-    model_runner.py --ip IP --port N --rank N --size N [--trouble]
+    model_runner.py --ip IP --port N --rank N --size N [--trouble endless|spoilt]
 
-Its report is always sound: a group of which it is a rank, and an order in progress. With `--trouble`, its answers to `GET /v1/picked` are bytes that
-are no answer and come without end until the caller closes.
+With `endless`, an order is in progress, the reports are sound, and the answers to `GET /v1/picked` are bytes that are no answer and come without
+end until the caller closes. With `spoilt`, one in 50 of all its answers is a list of far too many numbers.
 """
 
 import argparse
@@ -17,6 +17,9 @@
 # 16 MB a second on each connection.
 BLOCK = b" " * 65536
 PAUSE_S = 0.004
+# One in so many answers is spoilt: `garble` has x (.02).
+SPOILT_INTERVAL = 50
+SPOILT = b'{"counts":[' + b"0," * 4000000 + b"0]}"
 
 
 class ModelRunner:
@@ -24,10 +27,11 @@
         self.options = options
         self.born = int(time.time() * 1000)
         self.step = 0
+        self.answers = 0
 
     def report(self):
         self.step += 1
-        return {"stage": "colocated", "models": [{"name": "m", "version": 1, "adapters": []}], "busy": True, "seq": 1, "queued": 0, "active": 1,
+        return {"stage": "colocated", "models": [{"name": "m", "version": 1, "adapters": []}], "busy": self.options.trouble == "endless", "seq": 1, "queued": 0, "active": 1,
                 "kv_used": 41000, "kv_total": 280000, "handles": 0, "born": self.born, "pace": 1.0, "size": self.options.size, "step": self.step,
                 "map": 0, "prepared": None, "armed": None, "held": None,
                 "group": {"name": "g-1", "epoch": 1, "rank": self.options.rank, "state": "open"}}
@@ -55,10 +59,12 @@
                             return
                         head += part
                     target = head.split(b" ")[1].decode()
-                    if target.startswith("/v1/picked") and self.options.trouble:
+                    if target.startswith("/v1/picked") and self.options.trouble == "endless":
                         self.send_without_end(connection)
                         return
-                    body = json.dumps(self.report() if target == "/v1/report" else self.picked("lists" in target)).encode()
+                    self.answers += 1
+                    is_spoilt = self.options.trouble == "spoilt" and self.answers % SPOILT_INTERVAL == 0
+                    body = SPOILT if is_spoilt else json.dumps(self.report() if target == "/v1/report" else self.picked("lists" in target)).encode()
                     connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
         except OSError:
             pass
@@ -76,7 +82,7 @@
     parser.add_argument("--ip", required=True)
     for name in ("port", "rank", "size"):
         parser.add_argument("--" + name, type=int, required=True)
-    parser.add_argument("--trouble", action="store_true")
+    parser.add_argument("--trouble", choices=("endless", "spoilt"))
     ModelRunner(parser.parse_args()).run()
 
 
