--- a/review/stand_ins_3/installation.py
+++ b/review/stand_ins_3/installation.py
@@ -37,6 +37,10 @@
 MACHINE = {"cpu_share": 0.19, "cores": 1, "memory_mb": 260, "max_fds": 4200, "link_mbps": 1000.0, "disk_mb": 0}
 
 
+# Of each log in a record.
+MAX_LOG_LINES = 300
+
+
 class CannotRun(Exception):
     """The case could not be set up."""
 
@@ -123,7 +127,7 @@
             with open(os.path.join(self.folder, name), encoding="utf-8", errors="replace") as file:
                 lines = file.read().splitlines()
             wanted = ('"event":"attempt', '"event":"request"', '"event":"runner', '"event":"stop', '"event":"start')
-            for line in lines:
+            for line in lines[-MAX_LOG_LINES:]:
                 if name.startswith("runner") or any(part in line for part in wanted):
                     self.record_file.write(f"{name}: {line}\n")
 
@@ -212,14 +216,15 @@
         self.attempts += 1
         return f"{self.attempts:04x}{random.getrandbits(48):012x}"
 
-    async def call(self, entry, method, target, deadline_ms, attempt=None):
-        """Sends a request on a new connection and reads its answer to the end."""
+    async def call(self, entry, method, target, deadline_ms, attempt=None, extra=None):
+        """Sends a request, with `extra` fields, on a new connection and reads its answer to the end."""
         attempt = attempt or self.next_attempt()
         began = time.monotonic()
         self.record(f"sent {attempt} {method} {target}")
         reader, writer = await asyncio.open_connection(*self.entries[entry][1])
         try:
             fields = {"Host": HOST, "Attempt-Id": attempt, "Deadline-Ms": deadline_ms, "Authorization": f"Bearer {KEY}"}
+            fields.update(extra or {})
             if method == "POST":
                 fields["Content-Length"] = 0
             writer.write(http_parts.head_bytes(f"{method} {target} HTTP/1.1", fields))
