--- a/review/stand_ins_3/installation.py
+++ b/review/stand_ins_3/installation.py
@@ -198,12 +198,10 @@
     def runner_address(self, machine):
         return self.ip(machine), free_ports(self.ip(machine), 1)
 
-    async def start_runner(self, runner, address, advertised=None):
+    async def start_runner(self, runner, address):
         """Starts a runner process and waits until it is in the list."""
         command = [sys.executable, "-B", os.path.join(HERE, "runner.py"), "--ip", address[0], "--port", str(address[1]), "--id", runner,
                    "--service", SERVICE, "--store", "%s:%d" % self.store.address, "--heartbeat-s", str(HEARTBEAT_S), "--log", os.path.join(self.folder, f"runner-{runner}.log")]
-        if advertised:
-            command += ["--address", "%s:%d" % advertised]
         process = self.spawn(command, f"output-{runner}.txt")
         for _ in range(200):
             if ("servers", runner) in self.store.rows:
--- a/review/stand_ins_3/runner.py
+++ b/review/stand_ins_3/runner.py
@@ -2,21 +2,15 @@
 
 It registers in the store, answers requests, and writes a line of JSON to its log for each request that it begins and each answer that it
 has written whole. What it does is told by the path of a request: the last part is `PARTS-MS`, the number of parts of the answer and the
-time between two of them. An answer has neither a length nor chunks and ends with its connection, as the pages allow; on a `streaming` route a part is
-an event.
+time between two of them. An answer has neither a length nor chunks and ends with its connection, as the pages allow.
 
-    runner.py --ip IP --port N --id ID --service NAME --store IP:PORT --log FILE [--address IP:PORT] [--heartbeat-s S]
-
-`--address` is where others reach it, if that is not where it listens.
-
-SIGUSR1 is the notice that it leaves: it reports `draining` and says `Server-Leaving: 1` in its answers from then on.
+    runner.py --ip IP --port N --id ID --service NAME --store IP:PORT --log FILE [--heartbeat-s S]
 """
 
 import argparse
 import asyncio
 import json
 import os
-import signal
 import time
 
 import http_parts
@@ -27,15 +21,12 @@
 def parts_of(attempt, target):
     """The parts of the whole answer to a request."""
     count = int(target.rstrip("/").rsplit("/", 1)[1].split("-")[0])
-    if "/stream/" in target:
-        return [f"id: {number}\ndata: {attempt} {number}\n\n".encode() for number in range(1, count + 1)]
     return [f"{attempt} part {number} of {count}".ljust(PART_BYTES - 1).encode() + b"\n" for number in range(1, count + 1)]
 
 
 class Runner:
     def __init__(self, options):
         self.options = options
-        self.is_leaving = False
         self.seq = 0
         self.born = int(time.time() * 1000)
         self.log = open(options.log, "a", encoding="utf-8")  # pylint: disable=consider-using-with
@@ -46,8 +37,8 @@
 
     def row(self):
         self.seq += 1
-        return json.dumps({"service": self.options.service, "address": self.options.address or f"{self.options.ip}:{self.options.port}", "zone": "zone-a",
-                           "version": "v1", "slots": 6, "state": "draining" if self.is_leaving else "ready", "cold_left_ms": 0,
+        return json.dumps({"service": self.options.service, "address": f"{self.options.ip}:{self.options.port}", "zone": "zone-a",
+                           "version": "v1", "slots": 6, "state": "ready", "cold_left_ms": 0,
                            "seq": self.seq, "born": self.born})
 
     async def report(self):
@@ -66,14 +57,8 @@
                 pass
             await asyncio.sleep(self.options.heartbeat_s)
 
-    def on_notice(self):
-        self.is_leaving = True
-        self.record("notice")
-        asyncio.ensure_future(self.report())
-
     async def run(self):
         server = await asyncio.start_server(self.serve, self.options.ip, self.options.port)
-        asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, self.on_notice)
         self.record("start", pid=os.getpid())
         asyncio.ensure_future(self.keep_reporting())
         async with server:
@@ -91,19 +76,15 @@
 
     async def answer(self, request, writer):
         attempt = request.field("attempt-id")
-        leaving = {"Server-Leaving": "1"} if self.is_leaving else {}
         if request.field("expect-instance", self.options.id) != self.options.id:
-            writer.write(http_parts.response_bytes(421, {"Instance-Id": self.options.id, **leaving}))
+            writer.write(http_parts.response_bytes(421, {"Instance-Id": self.options.id}))
             await writer.drain()
             return
-        self.record("run", attempt=attempt, target=request.target, after=request.field("last-event-id"))
-        fields = {"Attempt-Id": attempt, "Server-Seal": f"s.{attempt}", **leaving, "Connection": "close"}
-        if "/stream/" in request.target:
-            fields["Content-Type"] = "text/event-stream"
+        self.record("run", attempt=attempt, target=request.target)
+        fields = {"Attempt-Id": attempt, "Server-Seal": f"s.{attempt}", "Connection": "close"}
         writer.write(http_parts.head_bytes("HTTP/1.1 200 OK", fields))
         pause_s = int(request.target.rstrip("/").rsplit("-", 1)[1]) / 1000
-        parts = parts_of(attempt, request.target)
-        for part in parts[int(request.field("last-event-id", "0") or 0):]:
+        for part in parts_of(attempt, request.target):
             writer.write(part)
             await writer.drain()
             await asyncio.sleep(pause_s)
@@ -115,7 +96,6 @@
     for name in ("ip", "id", "service", "store", "log"):
         parser.add_argument("--" + name, required=True)
     parser.add_argument("--port", type=int, required=True)
-    parser.add_argument("--address")
     parser.add_argument("--heartbeat-s", type=float, default=1.2)
     asyncio.run(Runner(parser.parse_args()).run())
 
