--- a/review/stand_ins_3/installation.py
+++ b/review/stand_ins_3/installation.py
@@ -37,8 +37,9 @@
 MACHINE = {"cpu_share": 0.19, "cores": 1, "memory_mb": 260, "max_fds": 4200, "link_mbps": 1000.0, "disk_mb": 0}
 
 
-# Of each log in a record.
+# Of each log in a record, and of each of its lines.
 MAX_LOG_LINES = 300
+MAX_LOG_CHARACTERS = 300
 
 
 class CannotRun(Exception):
@@ -129,7 +130,7 @@
             wanted = ('"event":"attempt', '"event":"request"', '"event":"runner', '"event":"stop', '"event":"start')
             for line in lines[-MAX_LOG_LINES:]:
                 if name.startswith("runner") or any(part in line for part in wanted):
-                    self.record_file.write(f"{name}: {line}\n")
+                    self.record_file.write(f"{name}: {line[:MAX_LOG_CHARACTERS]}\n")
 
     def spawn(self, command, log, env=None):
         with open(os.path.join(self.folder, log), "ab") as output:
