--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,4 +1,4 @@
-"""Runners whose reports are sound give answers without end to the question what was chosen. The platform ends agents that exceed their memory."""
+"""Runners spoil one in 50 of their answers to agents. The platform ends agents that exceed their memory."""
 
 import asyncio
 import os
@@ -19,7 +19,7 @@
     async with Installation(os.path.join(HERE, "record.txt")) as installation:
         await installation.configure([route("look", "safe", 1000)])
         await installation.start_entries()
-        is_broken = await watch_agents(installation, "endless" if TROUBLE else None, DAY_S if TROUBLE else QUIET_DAY_S)
+        is_broken = await watch_agents(installation, "spoilt" if TROUBLE else None, DAY_S if TROUBLE else QUIET_DAY_S)
         return 1 if is_broken else 0
 
 
--- a/review/stand_ins_3/installation.py
+++ b/review/stand_ins_3/installation.py
@@ -138,8 +138,8 @@
         self.processes.append(process)
         return process
 
-    async def configure(self, routes, version=7):
-        value = {"version": version, "routes": routes, "services": [{"name": SERVICE, "health_path": "/healthz", "max_conns": 96, "protocol": "h1", "tls": False}],
+    async def configure(self, routes, version=7, services=()):
+        value = {"version": version, "routes": routes, "services": [{"name": SERVICE, "health_path": "/healthz", "max_conns": 96, "protocol": "h1", "tls": False}, *services],
                  "limits": LIMITS, "tenants": [{"name": "hule930", "api_keys": [KEY], "priority": 1}]}
         await self.store.put("op", "config", json.dumps(value))
 
