A runner's wrong list no longer splits the map of its group, nor stops its switches

With a list that is no part of a whole map (an expert that no other rank holds, two alike, one missing) the group made no switch any more.

Cause: the coordinator learnt the map in use from the ranks' lists, also when it had ordered that map itself, and nothing compared contents. Agents applied the difference between the wrong map and the plan to the right map; the rank beside the coordinator got the plan whole. A plan from a list that is no map was refused each time, and the list was not read again as long as the map did not change.

Change: a map's version carries a 24-bit digest of its content below a sequence number, so that whoever knows the version can check the content and no message grows. Agents give their runner a prepare order only if the map has the digest. The coordinator takes the map in use from what was ordered; lists serve a coordinator without memory, and only if together they have the digest (map 0: if each expert of each set is listed once). An epoch that no rank reports any more is dropped, a step far ahead of all other ranks is not used, a coordinator made for another group, size or rank is replaced, and a rollback takes a new version when the map that it orders changes.

Why it works: two contents cannot have one version any more, except in one of 16 million cases, whoever has learnt what; so a wrong list can only delay a plan, and is replaced by the next sound one.

--- a/expert_map/expert_placement.h
+++ b/expert_map/expert_placement.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "state/ids.h"
+
 #include <cstdint>
 #include <vector>
 
@@ -16,4 +18,7 @@
     friend bool operator==(const expert_placement&, const expert_placement&) = default;
 };
 
+// The experts of one rank by set. Empty if the placement has no such rank.
+std::vector<std::vector<expert_number>> expertsOf(const expert_placement&, rank_id);
+
 }
--- a/expert_map/map_switch.cpp
+++ b/expert_map/map_switch.cpp
@@ -1,5 +1,7 @@
 #include "expert_map/map_switch.h"
 
+#include "expert_map/map_content.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -45,6 +47,16 @@
 // Time after which ranks that stay armed without a hold are reset, and a switch of a coordinator of an earlier build is ended.
 constexpr duration abandonedSwitchTimeout = std::chrono::milliseconds(1300);
 
+// Lists that contradict the map in use are taken for it after this time, if all ranks have listed the same for so long and the lists
+// together are whole. The maps of an earlier build that follow those of this one have no valid digest.
+constexpr duration contradictoryListsTimeout = std::chrono::seconds(3);
+
+// A rank whose step is further ahead of those of all others than this reports a wrong one: ranks run all passes together.
+constexpr std::uint64_t maxStepLead = 200;
+
+// Contents of maps that are kept: the map in use and those ordered since.
+constexpr std::size_t maxKnownPlacements = 4;
+
 constexpr duration shortRetryDelay = std::chrono::milliseconds(500);
 // Used after an order got no answer, since further orders are likely to get none for a few seconds, and after a rollback.
 constexpr duration longRetryDelay = std::chrono::seconds(3);
@@ -57,24 +69,35 @@
 {
 }
 
+void map_switch::startEpoch(std::uint64_t epoch)
+{
+    m_epoch = epoch;
+    m_ranks.clear();
+    m_placements.clear();
+    m_contradictoryLists.reset();
+    m_contradictorySince.reset();
+    m_stage = stage::Idle;
+    m_foreignSince.reset();
+    m_orders.clear();
+    m_lastStep = {};
+    m_acceptedVersions.clear();
+    m_sealedSteps.clear();
+    m_unsealableSteps.clear();
+    m_disarmedVersions.clear();
+}
+
 void map_switch::onReport(const rank_status& status)
 {
-    if (status.epoch < m_epoch)
-        return;
-    if (status.epoch > m_epoch) {
-        // The group has formed anew, which clears all prepared maps, armed switches and holds.
-        m_epoch = status.epoch;
-        m_ranks.clear();
-        m_stage = stage::Idle;
-        m_foreignSince.reset();
-        m_orders.clear();
-        m_requestedHolds.clear();
-        m_lastStep = {};
-        m_acceptedVersions.clear();
-        m_sealedSteps.clear();
-        m_unsealableSteps.clear();
-        m_disarmedVersions.clear();
+    if (status.epoch < m_epoch) {
+        // An epoch that no rank reports any more was wrong.
+        m_ranks.erase(status.rank);
+        if (!m_ranks.empty())
+            return;
+        startEpoch(status.epoch);
     }
+    // A group that forms anew loses all prepared maps, armed switches and holds.
+    if (status.epoch > m_epoch)
+        startEpoch(status.epoch);
     m_disarmedVersions.erase(status.rank);
     if (status.rank == rank_id(0))
         observePassTime(status);
@@ -96,13 +119,29 @@
         known->second.expertsBySet = std::move(expertsBySet);
 }
 
+void map_switch::onPlacement(std::uint64_t epoch, map_version version, std::shared_ptr<const expert_placement> placement)
+{
+    const bool isNew = epoch == m_epoch && !m_placements.contains(version);
+    if (isNew && sequenceOf(version) > 0 && isContentOf(version, *placement))
+        rememberPlacement(version, std::move(placement));
+}
+
+void map_switch::rememberPlacement(map_version version, std::shared_ptr<const expert_placement> placement)
+{
+    m_placements[version] = std::move(placement);
+    const auto inUse = commonMap();
+    for (auto known = m_placements.begin(); known != m_placements.end() && m_placements.size() > maxKnownPlacements;)
+        known = known->first == inUse || known->first == version ? std::next(known) : m_placements.erase(known);
+}
+
 std::vector<rank_id> map_switch::ranksLackingExperts() const
 {
     std::vector<rank_id> lacking;
-    if (m_stage != stage::RollingBack)
+    if (m_stage != stage::RollingBack || placementInUse())
         return lacking;
     for (const auto& [rank, status] : m_ranks) {
-        if (status.expertsBySet.empty())
+        // Nobody knows which list is the wrong one.
+        if (status.expertsBySet.empty() || areListsContradictory())
             lacking.push_back(rank);
     }
     return lacking;
@@ -117,32 +156,36 @@
     });
 }
 
-std::uint64_t map_switch::highestVersion() const
+std::uint64_t map_switch::highestSequence() const
 {
-    std::uint64_t highest = m_highestUsedVersion;
+    std::uint64_t highest = m_highestUsedSequence;
     for (const auto& [rank, status] : m_ranks) {
-        highest = std::max(highest, status.map.value());
-        highest = std::max(highest, status.prepared.value_or(map_version {}).value());
-        highest = std::max(highest, status.armed.value_or(map_version {}).value());
+        highest = std::max(highest, sequenceOf(status.map));
+        highest = std::max(highest, sequenceOf(status.prepared.value_or(map_version {})));
+        highest = std::max(highest, sequenceOf(status.armed.value_or(map_version {})));
     }
     return highest;
 }
 
-map_version map_switch::nextVersion()
+map_version map_switch::nextVersion(const expert_placement& placement)
 {
-    std::uint64_t version = highestVersion() + 1;
-    while (version % coordinatorModulus != m_coordinator.value() % coordinatorModulus)
-        ++version;
-    m_highestUsedVersion = version;
-    return map_version(version);
+    std::uint64_t sequence = highestSequence() + 1;
+    while (sequence % coordinatorModulus != m_coordinator.value() % coordinatorModulus)
+        ++sequence;
+    m_highestUsedSequence = sequence;
+    return mapVersion(sequence, placement);
 }
 
 std::uint64_t map_switch::highestStep() const
 {
     std::uint64_t highest = 0;
-    for (const auto& [rank, status] : m_ranks)
+    std::uint64_t second = 0;
+    for (const auto& [rank, status] : m_ranks) {
+        second = std::max(second, std::min(highest, status.step.value()));
         highest = std::max(highest, status.step.value());
-    return highest;
+    }
+    const bool isLeadCredible = m_ranks.size() < 2 || highest - second <= maxStepLead;
+    return isLeadCredible ? highest : second;
 }
 
 std::optional<map_switch::hold> map_switch::currentHold() const
@@ -170,7 +213,7 @@
 bool map_switch::isVoid(const rank_status& status, map_version version) const
 {
     const auto accepted = m_acceptedVersions.find(status.rank);
-    if (accepted != m_acceptedVersions.end() && accepted->second > version)
+    if (accepted != m_acceptedVersions.end() && accepted->second.version > version)
         return true;
     return status.map > version || (status.prepared > version && status.armed != version);
 }
@@ -202,15 +245,28 @@
     return std::all_of(m_ranks.begin(), m_ranks.end(), [&](const auto& entry) { return entry.second.armed == first; });
 }
 
-std::shared_ptr<const expert_placement> map_switch::placementInUse() const
+std::optional<map_version> map_switch::commonMap() const
 {
     if (m_ranks.size() != m_groupSize)
-        return nullptr;
-    const rank_status& first = m_ranks.begin()->second;
+        return std::nullopt;
+    const map_version first = m_ranks.begin()->second.map;
+    const bool isCommon = std::all_of(m_ranks.begin(), m_ranks.end(), [&](const auto& entry) { return entry.second.map == first; });
+    return isCommon ? std::optional(first) : std::nullopt;
+}
+
+std::shared_ptr<const expert_placement> map_switch::placementInUse() const
+{
+    const auto inUse = commonMap();
+    const auto known = inUse ? m_placements.find(*inUse) : m_placements.end();
+    return known == m_placements.end() ? nullptr : known->second;
+}
+
+std::shared_ptr<const expert_placement> map_switch::assemblePlacement() const
+{
     auto placement = std::make_shared<expert_placement>();
-    placement->sets.resize(first.expertsBySet.size());
+    placement->sets.resize(m_ranks.begin()->second.expertsBySet.size());
     for (const auto& [rank, status] : m_ranks) {
-        if (status.map != first.map || status.expertsBySet.empty() || status.expertsBySet.size() != first.expertsBySet.size())
+        if (status.expertsBySet.empty() || status.expertsBySet.size() != placement->sets.size())
             return nullptr;
         for (std::size_t set = 0; set < status.expertsBySet.size(); ++set)
             placement->sets[set].push_back(status.expertsBySet[set]);
@@ -218,6 +274,31 @@
     return placement;
 }
 
+void map_switch::updatePlacementInUse(time_point now)
+{
+    const auto inUse = commonMap();
+    if (!inUse || m_placements.contains(*inUse)) {
+        m_contradictorySince.reset();
+        return;
+    }
+    auto placement = assemblePlacement();
+    if (!placement)
+        return;
+    const bool isWhole = isWholePlacement(*placement);
+    if (isWhole && isContentOf(*inUse, *placement) && (*inUse != map_version {} || isWithoutCopies(*placement))) {
+        m_contradictorySince.reset();
+        rememberPlacement(*inUse, std::move(placement));
+        return;
+    }
+    if (!m_contradictorySince || *m_contradictoryLists != *placement) {
+        m_contradictorySince = now;
+        m_contradictoryLists = std::move(placement);
+    } else if (isWhole && now - *m_contradictorySince >= contradictoryListsTimeout) {
+        m_contradictorySince.reset();
+        rememberPlacement(*inUse, std::move(placement));
+    }
+}
+
 std::optional<expert_placement> map_switch::currentPlacement(time_point now) const
 {
     if (m_stage != stage::Idle || !isComplete(now))
@@ -274,10 +355,11 @@
     const auto base = placementInUse();
     // An agent of an earlier build does not give orders to another rank.
     const bool hasWitness = m_ranks.rbegin()->second.isWitness;
-    if (!base || !hasWitness)
+    if (!base || !hasWitness || highestSequence() >= maxMapSequence)
         return false;
-    m_version = nextVersion();
+    m_version = nextVersion(placement);
     m_placement = std::make_shared<expert_placement>(placement);
+    rememberPlacement(m_version, m_placement);
     m_basePlacement = base;
     m_base = m_ranks.begin()->second.map;
     m_copyTime = copyTime;
@@ -319,10 +401,10 @@
     if (m_stage != stage::Holding)
         m_holdOrderedAt = now;
     std::uint64_t step = std::max(highestStep(), m_step.value()) + passesAhead();
-    while (step % coordinatorModulus != m_coordinator.value() % coordinatorModulus || m_requestedHolds.contains(step_number(step)))
+    while (step % coordinatorModulus != m_coordinator.value() % coordinatorModulus || m_requestedHolds.contains({ m_epoch, step_number(step) }))
         ++step;
     m_step = step_number(step);
-    m_requestedHolds.insert(m_step);
+    m_requestedHolds.insert({ m_epoch, m_step });
     enterStage(stage::Holding, now);
     m_holder = holdingRank();
     queueOrder(map_order::kind::Hold, m_holder, {}, m_step);
@@ -368,7 +450,7 @@
 
 void map_switch::startRelease(time_point now)
 {
-    if (m_stage == stage::Arming && m_requestedHolds.contains(m_step))
+    if (m_stage == stage::Arming && m_requestedHolds.contains({ m_epoch, m_step }))
         m_confirmTime = (m_confirmTime + (now - m_holdOrderedAt)) / 2;
     enterStage(stage::Releasing, now);
     m_lastSentAt[m_holder] = now;
@@ -386,9 +468,10 @@
     }
     m_rollbackStep = held ? held : m_stage == stage::Arming ? std::optional(m_step)
                                                             : std::nullopt;
-    // The rank that holds the pass reports the version that ranks may be armed for, so this one is higher.
-    m_rollbackVersion = nextVersion();
     m_placement.reset();
+    // The rank that holds the pass reports the version that ranks may be armed for, so this one is higher.
+    if (!updateRollbackPlacement())
+        m_rollbackVersion = nextVersion({});
     enterStage(stage::RollingBack, now);
     advanceRollback(now);
 }
@@ -401,6 +484,9 @@
     m_placement = placementInUse();
     m_basePlacement = m_placement;
     m_base = inUse;
+    // One version stands for one content.
+    if (m_placement)
+        m_rollbackVersion = nextVersion(*m_placement);
     return m_placement != nullptr;
 }
 
@@ -422,8 +508,8 @@
     if (sent.epoch != m_epoch)
         return;
     const bool isAccepted = result == map_order_result::Accepted;
-    if (isAccepted && sent.action == map_order::kind::Prepare)
-        m_acceptedVersions[sent.rank] = std::max(m_acceptedVersions[sent.rank], sent.version);
+    if (isAccepted && sent.action == map_order::kind::Prepare && sent.version > m_acceptedVersions[sent.rank].version)
+        m_acceptedVersions[sent.rank] = { sent.version, now };
     if (isAccepted && sent.action == map_order::kind::Disarm)
         m_disarmedVersions[sent.rank] = sent.version;
     if (sent.action == map_order::kind::Seal) {
@@ -498,6 +584,7 @@
 void map_switch::advance(time_point now, bool isInCharge)
 {
     resetIfPaused(now);
+    updatePlacementInUse(now);
     switch (m_stage) {
     case stage::Idle:
         watchForeignHold(now, isInCharge);
@@ -671,7 +758,8 @@
     bool isRolledBack = true;
     for (const auto& [rank, status] : m_ranks) {
         const auto accepted = m_acceptedVersions.find(rank);
-        const bool hasAccepted = accepted != m_acceptedVersions.end() && accepted->second >= m_rollbackVersion;
+        // The answer alone may be wrong: a rank that is armed refuses the order.
+        const bool hasAccepted = accepted != m_acceptedVersions.end() && accepted->second.version >= m_rollbackVersion && !status.armed && status.receivedAt > accepted->second.at;
         const bool isSealed = held && rank == witnessedRank() && m_sealedSteps.contains(m_step);
         if (isSealed || hasAccepted || (!status.armed && status.prepared >= m_rollbackVersion))
             continue;
@@ -705,7 +793,7 @@
     // Coordinators of earlier builds decide alone for a while.
     const bool isDecidedByRanks = held && held->rank == holdingRank();
     // A hold of this coordinator that was carried out after its switch had ended.
-    const bool isOwnHold = held && m_requestedHolds.contains(held->step);
+    const bool isOwnHold = held && m_requestedHolds.contains({ m_epoch, held->step });
     const duration age = now - *m_foreignSince;
     if (held && (isOwnHold || (isDecidedByRanks && age >= foreignHoldTimeout) || (isInCharge && age >= abandonedSwitchTimeout))) {
         m_foreignSince.reset();
--- a/expert_map/map_switch.h
+++ b/expert_map/map_switch.h
@@ -7,11 +7,13 @@
 #include "state/ids.h"
 #include "state/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace sardinelb {
@@ -68,10 +70,20 @@
     // Handles the list of the experts of a rank that holds them in `map`. Ignored if the rank has since reported another map.
     void onExperts(rank_id, std::uint64_t epoch, map_version map, std::vector<std::vector<expert_number>> expertsBySet);
 
+    // Handles the content of a map that was ordered, as known to the agent beside this coordinator. Ignored if it is not the content
+    // that the version stands for.
+    void onPlacement(std::uint64_t epoch, map_version, std::shared_ptr<const expert_placement>);
+
     // Ranks whose experts must be known before a rollback can continue. Their runners must be asked, because reports list the
     // experts only now and then, and not at all while an agent is down.
     std::vector<rank_id> ranksLackingExperts() const;
 
+    // The number of expert sets of the group's maps. 0 while no map is known.
+    std::size_t setCount() const { return m_placements.empty() ? 0 : m_placements.rbegin()->second->sets.size(); }
+
+    // Whether the lists of all ranks together are not the map in use, so that one of them is wrong.
+    bool areListsContradictory() const { return m_contradictorySince.has_value(); }
+
     // Starts a switch. Returns false if a switch is in progress, a rank has no recent report or its experts are not known, or
     // the retry delay after a failure has not passed.
     bool begin(const expert_placement&, duration copyTime, time_point now);
@@ -141,8 +153,8 @@
     std::optional<map_version> completableVersion() const;
     // Whether the pass of this switch has begun, by any report.
     bool hasPassBegun() const;
-    std::uint64_t highestVersion() const;
-    map_version nextVersion();
+    std::uint64_t highestSequence() const;
+    map_version nextVersion(const expert_placement&);
     std::uint64_t highestStep() const;
     struct hold {
         rank_id rank;
@@ -151,14 +163,28 @@
 
     std::optional<hold> currentHold() const;
     std::optional<step_number> heldStep() const;
-    // The map in use, or nullptr while the experts of a rank are not known or ranks report different maps.
+    // The map in use, or nullptr while its content is not known or ranks report different maps.
     std::shared_ptr<const expert_placement> placementInUse() const;
+    // The version that all ranks report as in use.
+    std::optional<map_version> commonMap() const;
+    // What the ranks' lists together say of the map in use, or nullptr while a list is missing.
+    std::shared_ptr<const expert_placement> assemblePlacement() const;
+    // Learns the map in use from the ranks' lists if no process has told its content.
+    void updatePlacementInUse(time_point now);
+    void rememberPlacement(map_version, std::shared_ptr<const expert_placement>);
+    void startEpoch(std::uint64_t epoch);
     // Updates the map that ranks prepare in a rollback. Returns false while the map in use is not known.
     bool updateRollbackPlacement();
 
     rank_id m_coordinator;
     std::uint32_t m_groupSize;
+    // Reports of the current epoch.
     std::map<rank_id, rank_status> m_ranks;
+    // The content of maps of this epoch: those ordered here or by way of the agent beside this coordinator, and the map in use.
+    std::map<map_version, std::shared_ptr<const expert_placement>> m_placements;
+    // Lists that contradict the map in use, and since when all ranks have listed the same.
+    std::shared_ptr<const expert_placement> m_contradictoryLists;
+    std::optional<time_point> m_contradictorySince;
     std::uint64_t m_epoch = 0;
     stage m_stage = stage::Idle;
     time_point m_stageSince;
@@ -186,8 +212,13 @@
     bool m_isWitnessedArmSent = false;
     // When a rank refused to be armed. It may have done so because the pass had begun.
     std::map<rank_id, time_point> m_armRefusedAt;
+    struct accepted_prepare {
+        map_version version;
+        time_point at;
+    };
+
     // The highest version that each rank has accepted to prepare for this coordinator.
-    std::map<rank_id, map_version> m_acceptedVersions;
+    std::map<rank_id, accepted_prepare> m_acceptedVersions;
     // Passes for which the witness has confirmed that the witnessed rank is not armed and will not be, or that it may be.
     std::set<step_number> m_sealedSteps;
     std::set<step_number> m_unsealableSteps;
@@ -205,7 +236,7 @@
     std::optional<time_point> m_foreignSince;
     // The pass that was held then.
     std::optional<step_number> m_foreignStep;
-    std::uint64_t m_highestUsedVersion = 0;
+    std::uint64_t m_highestUsedSequence = 0;
     // Smoothed time from a hold order to the release.
     duration m_confirmTime {};
     time_point m_holdOrderedAt;
@@ -214,9 +245,9 @@
     // The last pass that began, and when rank 0 first reported it.
     step_number m_lastStep;
     time_point m_lastStepAt;
-    // Passes that this coordinator has ordered to be held in this epoch. None of them is held a second time: a late
-    // release of the first hold would end the second one.
-    std::set<step_number> m_requestedHolds;
+    // Passes that this coordinator has ordered to be held, by epoch. None of them is held a second time: a late release of the
+    // first hold would end the second one. Kept for all epochs, since a report may name a wrong one.
+    std::set<std::pair<std::uint64_t, step_number>> m_requestedHolds;
 };
 
 }
--- a/fleet/agent_process.cpp
+++ b/fleet/agent_process.cpp
@@ -138,6 +138,8 @@
     bool isHoldingRank() const;
     void readRunner();
     void onRunnerReport(std::optional<platform::runner_report>);
+    // Sets the experts of the local rank in the map in use.
+    void setLocalExperts();
     void readExperts();
     void logIfChanged(const std::string& answer, bool isReadable);
     void reportDemand();
@@ -156,6 +158,7 @@
     void sendOrderToRunner(const map_order&);
     void pollSilentRanks();
     void readLackingExperts();
+    bool isCoordinatorOfThisRank() const;
     std::string addressOf(rank_id) const;
     void removeSilent();
 };
@@ -293,6 +296,8 @@
         socket->send(encode(delegated_result_message { message.id, delegated_result_message::outcome::BaseUnknown }), from);
         return;
     }
+    if (order->action == map_order::kind::Prepare)
+        orderExecutor.onPrepareSent(*order, localReport->status.map);
     runner.send(options.runnerAddress, *order, true, [this, from, id = message.id, order = *order](map_order_result result) {
         using outcome = delegated_result_message::outcome;
         const bool isAccepted = result == map_order_result::Accepted;
@@ -408,11 +413,10 @@
     localReport = std::move(message);
     witness.onStatus(localReport->status);
     demand.setGroup(localReport->group, localReport->status.epoch);
-    const bool areHeldExpertsCurrent = heldExperts && heldExperts->epoch == localReport->status.epoch && heldExperts->map == localReport->status.map;
-    if (areHeldExpertsCurrent)
-        localReport->status.expertsBySet = heldExperts->experts;
-    else
-        readExperts();
+    setLocalExperts();
+    const bool isMapNew = before.epoch != localReport->status.epoch || before.map != localReport->status.map;
+    if (isMapNew && !localReport->status.expertsBySet.empty())
+        expertListsDue = expertListRepetitions;
     // The coordinator beside this runner follows it closely, since the pass to hold is chosen from its steps.
     if (coordinator)
         coordinator->onReport(*localReport, now);
@@ -420,6 +424,23 @@
         sendReportToCoordinators();
 }
 
+void agent_process::implementation::setLocalExperts()
+{
+    rank_status& status = localReport->status;
+    // What was ordered is not asked of the runner.
+    const auto placement = orderExecutor.placementOf(status.epoch, status.map);
+    if (placement && coordinator)
+        coordinator->onPlacement(status.epoch, status.map, placement);
+    status.expertsBySet = placement ? expertsOf(*placement, status.rank) : std::vector<std::vector<expert_number>>();
+    if (!status.expertsBySet.empty())
+        return;
+    const bool areHeldExpertsCurrent = heldExperts && heldExperts->epoch == status.epoch && heldExperts->map == status.map;
+    if (areHeldExpertsCurrent)
+        status.expertsBySet = heldExperts->experts;
+    else
+        readExperts();
+}
+
 void agent_process::implementation::readExperts()
 {
     runner.readExperts(options.runnerAddress, [this](std::optional<platform::held_experts> response) {
@@ -538,7 +559,8 @@
     };
     const auto onHoldEnded = [this, group = localReport->group](const pass_hold& hold) { metrics.recordHold(group.value(), hold.held, hold.waited); };
     const auto onOrderOutcome = [this](const std::string& order, const std::string& outcome) { metrics.countOrder(order, outcome); };
-    coordinator = std::make_unique<group_coordinator>(localReport->group, local, localReport->groupSize, log, group_coordinator::hooks { sendOrder, onHoldEnded, onOrderOutcome });
+    const auto onListsContradictory = [this] { metrics.count("expert_lists_contradictory"); };
+    coordinator = std::make_unique<group_coordinator>(localReport->group, local, localReport->groupSize, log, group_coordinator::hooks { sendOrder, onHoldEnded, onOrderOutcome, onListsContradictory });
     members.startSilenceTimeout(local, steadyNow());
 }
 
@@ -550,7 +572,7 @@
     const rank_id local = localReport->status.rank;
     const bool isCandidate = members.isCandidate(local);
     const bool isBusy = coordinator && coordinator->isBusy();
-    if (!isCandidate && !isBusy)
+    if ((!isCandidate && !isBusy) || (coordinator && !isCoordinatorOfThisRank()))
         resetCoordinator();
     if (isCandidate && !coordinator)
         startCoordinator();
@@ -575,6 +597,11 @@
     return members.addressOf(rank);
 }
 
+bool agent_process::implementation::isCoordinatorOfThisRank() const
+{
+    return coordinator->group() == localReport->group && coordinator->groupSize() == localReport->groupSize && coordinator->localRank() == localReport->status.rank;
+}
+
 void agent_process::implementation::resetCoordinator()
 {
     coordinator.reset();
@@ -584,8 +611,10 @@
 void agent_process::implementation::sendOrderToRunner(const map_order& order)
 {
     const std::string address = addressOf(order.rank);
-    runner.send(address, order, address == options.runnerAddress, [this, order](map_order_result result) {
-        const bool isOwnPrepare = order.action == map_order::kind::Prepare && localReport && order.rank == localReport->status.rank;
+    const bool isOwnPrepare = order.action == map_order::kind::Prepare && localReport && order.rank == localReport->status.rank;
+    if (isOwnPrepare)
+        orderExecutor.onPrepareSent(order, localReport->status.map);
+    runner.send(address, order, address == options.runnerAddress, [this, order, isOwnPrepare](map_order_result result) {
         if (isOwnPrepare && result == map_order_result::Accepted)
             orderExecutor.onPrepared(order, localReport->status.map);
         if (dispatcher)
--- a/fleet/group_coordinator.cpp
+++ b/fleet/group_coordinator.cpp
@@ -126,6 +126,7 @@
 
 group_coordinator::group_coordinator(group_id group, rank_id coordinator, std::uint32_t groupSize, event_log& log, hooks callbacks)
     : m_group(std::move(group))
+    , m_localRank(coordinator)
     , m_log(log)
     , m_hooks(std::move(callbacks))
     , m_groupSize(groupSize)
@@ -166,12 +167,28 @@
     m_switch.onExperts(rank, epoch, map, std::move(expertsBySet));
 }
 
+void group_coordinator::onPlacement(std::uint64_t epoch, map_version version, const std::shared_ptr<const expert_placement>& placement)
+{
+    m_switch.onPlacement(epoch, version, placement);
+}
+
+void group_coordinator::reportContradictoryLists()
+{
+    const bool areContradictory = m_switch.areListsContradictory();
+    if (areContradictory && !m_areListsContradictory) {
+        m_log.write("expert_lists_contradictory", { { "group", m_group.value() } });
+        if (m_hooks.onListsContradictory)
+            m_hooks.onListsContradictory();
+    }
+    m_areListsContradictory = areContradictory;
+}
+
 void group_coordinator::onDemand(const demand_report_message& message, time_point now)
 {
     if (m_switch.ranks().empty())
         return;
     const rank_status& first = m_switch.ranks().begin()->second;
-    const auto sets = static_cast<std::uint32_t>(first.expertsBySet.size());
+    const auto sets = static_cast<std::uint32_t>(m_switch.setCount());
     if (sets == 0 || message.epoch != first.epoch || message.choices.values.empty())
         return;
     if (message.choices.values.size() % sets != 0) {
@@ -207,6 +224,7 @@
     m_isActive = isActive;
     reportOrderOutcomes(now);
     m_switch.advance(now, isActive);
+    reportContradictoryLists();
     if (isActive && m_switch.currentStage() == map_switch::stage::Idle && now - m_plannedAt >= planInterval)
         planNextSwitch(now);
     logStageChange(previousStage);
--- a/fleet/group_coordinator.h
+++ b/fleet/group_coordinator.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -42,18 +43,28 @@
         std::function<void(const pass_hold&)> onHoldEnded;
         // The outcome of an order has become known.
         std::function<void(const std::string& order, const std::string& outcome)> onOrderOutcome;
+        // The lists of the ranks' experts together are not the map in use, so that one of them is wrong. May be empty.
+        std::function<void()> onListsContradictory = {};
     };
 
     group_coordinator(group_id, rank_id coordinator, std::uint32_t groupSize, event_log&, hooks);
 
     void setLimits(const limits& values) { m_limits = values; }
 
+    const group_id& group() const { return m_group; }
+    std::uint32_t groupSize() const { return m_groupSize; }
+    // The rank beside this coordinator.
+    rank_id localRank() const { return m_localRank; }
+
     // Processes the report of a rank.
     void onReport(const rank_message&, time_point now);
 
     // Processes the list of the experts that a rank holds in `map`, read from its runner.
     void onExperts(rank_id, std::uint64_t epoch, map_version map, std::vector<std::vector<expert_number>> expertsBySet);
 
+    // Processes the content of a map that was ordered through the agent beside this coordinator.
+    void onPlacement(std::uint64_t epoch, map_version, const std::shared_ptr<const expert_placement>&);
+
     // Processes a report of the demand of some ranks. Ignored if it is from another epoch.
     void onDemand(const demand_report_message&, time_point now);
 
@@ -85,9 +96,11 @@
     void sendOrders();
     void observe(const rank_status&);
     void reportOrderOutcomes(time_point now);
+    void reportContradictoryLists();
     void logStageChange(map_switch::stage before);
 
     group_id m_group;
+    rank_id m_localRank;
     event_log& m_log;
     hooks m_hooks;
     limits m_limits;
@@ -96,6 +109,7 @@
     hold_observer m_holds;
     order_statistics m_orders;
     bool m_isActive = false;
+    bool m_areListsContradictory = false;
     std::optional<expert_demand> m_demand;
     // Number of experts in all sets. 0 until a demand report has arrived.
     std::size_t m_expertCount = 0;
--- a/fleet/map_order_dispatcher.cpp
+++ b/fleet/map_order_dispatcher.cpp
@@ -161,7 +161,7 @@
     message.order = order;
     if (order.placement)
         setDelta(message, order, isBaseKnown);
-    m_pending[message.id] = { order, now, false };
+    m_pending[message.id] = { order, now, false, !message.base };
     m_hooks.sendToAgent(message);
 }
 
@@ -171,11 +171,12 @@
     if (found == m_pending.end())
         return;
     const map_order order = found->second.order;
+    const bool isWhole = found->second.isWhole;
     m_pending.erase(found);
     if (!order.isWitnessed)
         m_missed.erase(order.rank);
     std::erase_if(m_direct, [&](const map_order& other) { return isSameOrder(other, order); });
-    if (message.result == delegated_result_message::outcome::BaseUnknown)
+    if (message.result == delegated_result_message::outcome::BaseUnknown && !isWhole)
         sendToAgent(order, false, now);
     else
         m_hooks.onResult(order, toOrderResult(message.result));
--- a/fleet/map_order_dispatcher.h
+++ b/fleet/map_order_dispatcher.h
@@ -51,6 +51,8 @@
         map_order order;
         time_point sentAt;
         bool isSentDirectly = false;
+        // Whether the agent was given the difference from the round-robin placement, which needs no knowledge.
+        bool isWhole = false;
     };
 
     bool isInFlight(const map_order&) const;
--- a/fleet/map_order_executor.cpp
+++ b/fleet/map_order_executor.cpp
@@ -1,5 +1,7 @@
 #include "fleet/map_order_executor.h"
 
+#include "expert_map/map_content.h"
+
 #include <algorithm>
 
 namespace sardinelb {
@@ -10,6 +12,9 @@
 // the memory of the process.
 constexpr std::uint64_t maxPlacementSize = 1 << 20;
 
+// An order without an answer may be carried out later, so the maps of the last few are kept.
+constexpr std::size_t maxPlacements = 4;
+
 bool hasAcceptableSize(const delegated_order_message& message)
 {
     return static_cast<std::uint64_t>(message.sets) * std::max(message.experts, message.ranks) <= maxPlacementSize;
@@ -33,19 +38,26 @@
         if (known != m_placements.end())
             placement = applyDelta(*known->second, message.delta);
     }
-    if (!placement)
+    if (!placement || !isContentOf(order.version, *placement))
         return std::nullopt;
     order.placement = std::make_shared<expert_placement>(std::move(*placement));
     return order;
 }
 
+void map_order_executor::onPrepareSent(const map_order& order, map_version inUse)
+{
+    if (sequenceOf(order.version) > 0)
+        onPrepared(order, inUse);
+}
+
 void map_order_executor::onPrepared(const map_order& order, map_version inUse)
 {
     if (order.epoch != m_epoch)
         m_placements.clear();
     m_epoch = order.epoch;
-    std::erase_if(m_placements, [&](const auto& entry) { return entry.first != inUse; });
     m_placements[order.version] = order.placement;
+    for (auto known = m_placements.begin(); known != m_placements.end() && m_placements.size() > maxPlacements;)
+        known = known->first == inUse || known->first == order.version ? std::next(known) : m_placements.erase(known);
 }
 
 std::shared_ptr<const expert_placement> map_order_executor::placementOf(std::uint64_t epoch, map_version version) const
--- a/fleet/map_order_executor.h
+++ b/fleet/map_order_executor.h
@@ -15,10 +15,15 @@
 // machine.
 class map_order_executor {
 public:
-    // The order to give to the runner. Nothing if it refers to a map that is not known here.
+    // The order to give to the runner. Nothing if it refers to a map that is not known here, or if the result is not the map that the
+    // version stands for, since the coordinator knows another content of that map.
     std::optional<map_order> complete(const delegated_order_message&);
 
-    // Records that the runner has taken a prepare order. Maps other than this and `inUse` are forgotten.
+    // Records the map of a prepare order that the runner is about to get, and may take later without an answer. Maps other than the
+    // last few and `inUse` are forgotten. Ignored for a version without a digest, which may stand for several maps.
+    void onPrepareSent(const map_order&, map_version inUse);
+
+    // The same once the runner has taken the map.
     void onPrepared(const map_order&, map_version inUse);
 
     // The map of this version, or nullptr if it is not known here.
--- a/tests/fleet/group_messages_test.cpp
+++ b/tests/fleet/group_messages_test.cpp
@@ -1,5 +1,6 @@
 #include "expert_map/demand_accumulator.h"
 #include "expert_map/demand_route.h"
+#include "expert_map/map_content.h"
 #include "expert_map/placement_delta.h"
 #include "expert_map/placement_delta_codec.h"
 #include "fleet/demand_reporting.h"
@@ -240,6 +241,47 @@
     EXPECT_EQ(*executor.complete(sent[2])->placement, *target);
 }
 
+// Guards against passes with two contents of one map: an agent applied the difference to another base than that of the coordinator.
+TEST_F(delegated_orders, agentKnowsAnotherBase_answered_getsTheWholeMap)
+{
+    const map_order before = prepareOrder(rank_id(7), 4);
+    executor.onPrepared(before, map_version(0));
+    map_order order = prepareOrder(rank_id(7), 5);
+    auto base = std::make_shared<expert_placement>(*order.basePlacement);
+    base->sets[2][3].back() ^= 1;
+    auto target = std::make_shared<expert_placement>(*base);
+    target->sets[0][5].push_back(191);
+    order.basePlacement = base;
+    order.placement = target;
+    order.version = mapVersion(1, *target);
+    dispatcher.dispatch(order, at(0));
+    ASSERT_EQ(sent[0].base, map_version(4));
+    EXPECT_FALSE(executor.complete(sent[0]));
+    dispatcher.onDelegatedResult({ sent[0].id, delegated_result_message::outcome::BaseUnknown }, at(5));
+    ASSERT_EQ(sent.size(), 2U);
+    EXPECT_FALSE(sent[1].base);
+    const auto completed = executor.complete(sent[1]);
+    ASSERT_TRUE(completed);
+    EXPECT_EQ(*completed->placement, *target);
+    // Guards against an exchange without end with an agent that cannot use the whole map either.
+    dispatcher.onDelegatedResult({ sent[1].id, delegated_result_message::outcome::BaseUnknown }, at(10));
+    EXPECT_EQ(sent.size(), 2U);
+    EXPECT_EQ(results, std::vector<map_order_result> { map_order_result::Unanswered });
+}
+
+// Guards against messages that grow with the check of their content: the digest is a part of the version.
+TEST_F(delegated_orders, versionWithDigest_encoded_asLongAsWithout)
+{
+    for (const std::uint16_t ranks : { 8, 32, 96 }) {
+        delegated_order_message message;
+        message.order = { map_order::kind::Prepare, rank_id(3), 1, map_version(5), {}, {} };
+        message.ranks = ranks;
+        const std::size_t without = encode(message).size();
+        message.order.version = mapVersion(5, roundRobinPlacement(16, 192, ranks));
+        EXPECT_EQ(encode(message).size(), without);
+    }
+}
+
 // Guards against a switch that waits for ever for the agent of a rank whose runner is well.
 TEST_F(delegated_orders, agentIsDown_orderRepeated_goesToTheRunner)
 {
