An answer takes no more memory than its question can have for an answer

Cause: agents and entries read up to 8 MiB for any question and parsed it whole before they looked at a field, 16 bytes for a number of two bytes and three times that while the list grows. Nothing bounded how many answers an agent read at once either: lists were asked for with each report until one had arrived, counts with each turn of the timer.

Change: each call names the longest body that its response can have, and a longer one ends at once. An agent has one call of each question to its runner, and reads at most 8 lists of other ranks at once. Answers that cannot be used are counted and logged, one line a second for each question and reason; the next call is made as before.

--- a/fleet/agent_process.cpp
+++ b/fleet/agent_process.cpp
@@ -1,6 +1,7 @@
 #include "fleet/agent_process.h"
 
 #include "expert_map/arm_witness.h"
+#include "fleet/broken_answer_log.h"
 #include "fleet/demand_reporting.h"
 #include "fleet/event_log.h"
 #include "fleet/fleet_message.h"
@@ -61,6 +62,9 @@
 // Interval of the load reports that list the known entries, so that entries discover each other.
 constexpr duration entryListInterval = std::chrono::seconds(1);
 
+// Lists of experts of other ranks that a coordinator reads at once, so that they fit the memory of a machine whatever their length.
+constexpr std::size_t maxLackingReads = 8;
+
 // Entries that are silent for this long are removed. Heartbeats arrive twice a second.
 constexpr duration peerTimeout = std::chrono::milliseconds(1700);
 
@@ -76,7 +80,8 @@
         : context(io)
         , options(std::move(values))
         , log(events)
-        , runner(io.get_executor(), options.linkMegabitsPerSecond)
+        , brokenAnswers(events, metrics)
+        , runner(io.get_executor(), options.linkMegabitsPerSecond, [this](std::string_view question, std::string_view reason) { brokenAnswers.record(question, reason); })
         , timer(io)
     {
     }
@@ -85,6 +90,7 @@
     platform::settings options;
     event_log& log;
     process_metrics metrics;
+    broken_answer_log brokenAnswers;
     platform::rank_client runner;
     boost::asio::steady_timer timer;
     std::shared_ptr<udp_socket> socket;
@@ -113,8 +119,13 @@
     bool isReadingReport = false;
     // Whether to read the report again when the read in progress ends, because it may show the state before an order.
     bool isReportOutdated = false;
+    bool isReadingExperts = false;
+    bool isReadingChoices = false;
     // Ranks whose report the coordinator is reading.
     std::set<rank_id> polledRanks;
+    // Ranks whose experts the coordinator has to read, and the number of such reads in progress.
+    std::set<rank_id> lackingRanks;
+    std::size_t lackingReads = 0;
     // Whether the runner's last answer of each kind could be read. An unreadable one counts as none.
     std::map<std::string, bool> readableAnswers;
     // When the runner first reported the map that it currently has prepared.
@@ -158,6 +169,7 @@
     void sendOrderToRunner(const map_order&);
     void pollSilentRanks();
     void readLackingExperts();
+    void startLackingReads();
     bool isCoordinatorOfThisRank() const;
     std::string addressOf(rank_id) const;
     void removeSilent();
@@ -443,7 +455,11 @@
 
 void agent_process::implementation::readExperts()
 {
+    if (isReadingExperts)
+        return;
+    isReadingExperts = true;
     runner.readExperts(options.runnerAddress, [this](std::optional<platform::held_experts> response) {
+        isReadingExperts = false;
         logIfChanged("experts", response.has_value());
         if (!response)
             return;
@@ -463,9 +479,11 @@
 
 void agent_process::implementation::reportDemand()
 {
-    if (!localReport)
+    if (!localReport || isReadingChoices)
         return;
+    isReadingChoices = true;
     runner.readChoices(options.runnerAddress, [this](const std::optional<platform::expert_choices>& response) {
+        isReadingChoices = false;
         logIfChanged("choices", response.has_value());
         if (response)
             demand.onCounters(response->choices, response->epoch);
@@ -640,19 +658,22 @@
 
 void agent_process::implementation::readLackingExperts()
 {
-    for (const rank_id rank : coordinator->takeRanksLackingExperts(steadyNow())) {
-        // This agent has got the map in use as an order, unless it has just started.
-        const rank_status& local = localReport->status;
-        if (const auto placement = orderExecutor.placementOf(local.epoch, local.map)) {
-            std::vector<std::vector<expert_number>> experts;
-            for (const auto& byRank : placement->sets)
-                experts.push_back(byRank[rank.value()]);
-            coordinator->onExperts(rank, local.epoch, local.map, std::move(experts));
-            continue;
-        }
+    for (const rank_id rank : coordinator->takeRanksLackingExperts(steadyNow()))
+        lackingRanks.insert(rank);
+    startLackingReads();
+}
+
+void agent_process::implementation::startLackingReads()
+{
+    while (!lackingRanks.empty() && lackingReads < maxLackingReads) {
+        const rank_id rank = *lackingRanks.begin();
+        lackingRanks.erase(lackingRanks.begin());
+        ++lackingReads;
         runner.readExperts(addressOf(rank), [this, rank](std::optional<platform::held_experts> response) {
+            --lackingReads;
             if (response && coordinator)
                 coordinator->onExperts(rank, response->epoch, response->map, std::move(response->experts));
+            startLackingReads();
         });
     }
 }
--- a/fleet/entry_process.cpp
+++ b/fleet/entry_process.cpp
@@ -1,5 +1,6 @@
 #include "fleet/entry_process.h"
 
+#include "fleet/broken_answer_log.h"
 #include "fleet/entry_context.h"
 #include "fleet/entry_peers.h"
 #include "fleet/event_log.h"
@@ -83,7 +84,8 @@
         : context(io)
         , options(std::move(values))
         , log(events)
-        , store(io.get_executor(), options.storeAddress)
+        , brokenAnswers(events, metrics)
+        , store(io.get_executor(), options.storeAddress, [this](std::string_view question, std::string_view reason) { brokenAnswers.record(question, reason); })
         , entry(io.get_executor(), options, log, metrics)
         , peers(io, options, entry, log, entry_peers::hooks { [this] { return localVersions(); }, [this](const std::string& ip, const entry_peers::known_versions& versions) { onPeerVersions(ip, versions); } })
         , quarantines(io.get_executor(), store, log, [this](const std::vector<prompt_part_evidence>& parts) { entry.promptGuard().onEvidence(parts); })
@@ -96,6 +98,7 @@
     platform::settings options;
     event_log& log;
     process_metrics metrics;
+    broken_answer_log brokenAnswers;
     platform::store_client store;
     entry_context entry;
     entry_peers peers;
@@ -314,7 +317,8 @@
         return;
     log.write("peer_read", { { "ip", ip }, { "table", table }, { "store_silent_ms", follower.timeSinceConfirmed().count() } });
     const std::string address = ip + ":" + std::to_string(options.firstPeerPort + entryTablePortOffset);
-    read = { std::make_unique<platform::store_client>(context.get_executor(), address), now };
+    const auto onBroken = [this](std::string_view, std::string_view reason) { brokenAnswers.record("peer_table", reason); };
+    read = { std::make_unique<platform::store_client>(context.get_executor(), address, onBroken), now };
     read.client->read(std::string(table), "", [this, key = std::string(table), now, &follower](const platform::store_response& response) {
         onPeerTable(key, response, follower);
         boost::asio::post(context, [this, key, now] {
--- a/fleet/process_metrics.cpp
+++ b/fleet/process_metrics.cpp
@@ -34,6 +34,7 @@
     prometheus::Histogram& total = prometheus::BuildHistogram().Name("sardinelb_request_seconds").Help("Time from a request to the end of its answer.").Register(registry).Add({}, latencyBucketsSeconds);
     prometheus::Histogram& first = prometheus::BuildHistogram().Name("sardinelb_first_answer_seconds").Help("Time from a request to the first part of its answer.").Register(registry).Add({}, latencyBucketsSeconds);
     prometheus::Family<prometheus::Counter>& orders = prometheus::BuildCounter().Name("sardinelb_map_orders_total").Help("Orders to ranks by kind and outcome.").Register(registry);
+    prometheus::Family<prometheus::Counter>& brokenAnswers = prometheus::BuildCounter().Name("sardinelb_broken_answers_total").Help("Answers of runners, the store and entries that cannot be used.").Register(registry);
     prometheus::Family<prometheus::Histogram>& holds = prometheus::BuildHistogram().Name("sardinelb_pass_hold_seconds").Help("Time for which a pass of a rank group was held.").Register(registry);
     prometheus::Family<prometheus::Counter>& waited = prometheus::BuildCounter().Name("sardinelb_group_waited_seconds_total").Help("Time for which a rank group waited at a held pass.").Register(registry);
 };
@@ -98,6 +99,11 @@
     m_implementation->orders.Add({ { "order", order }, { "outcome", outcome } }).Increment();
 }
 
+void process_metrics::countBrokenAnswer(const std::string& question, const std::string& reason)
+{
+    m_implementation->brokenAnswers.Add({ { "question", question }, { "reason", reason } }).Increment();
+}
+
 std::string process_metrics::text() const
 {
     return prometheus::TextSerializer().Serialize(m_implementation->registry.Collect());
--- a/fleet/process_metrics.h
+++ b/fleet/process_metrics.h
@@ -40,6 +40,9 @@
     // Counts an order to a rank by its kind and outcome.
     void countOrder(const std::string& order, const std::string& outcome);
 
+    // Counts an answer to a question of this process that cannot be used.
+    void countBrokenAnswer(const std::string& question, const std::string& reason);
+
     std::string text() const;
 
 private:
--- a/relay/http_call_client.cpp
+++ b/relay/http_call_client.cpp
@@ -30,8 +30,18 @@
 // Connections that are idle for longer may be dead; connecting again costs little.
 constexpr std::chrono::seconds maxIdleTime { 3 };
 
-// The store of a fleet sends responses of up to 1 MB.
-constexpr std::uint64_t maxResponseBytes = 8ULL * 1024 * 1024;
+// Names what is wrong with a response. nullptr if the response did not arrive in time or at all.
+const char* brokenReason(const error_code& error)
+{
+    if (error == http::error::body_limit)
+        return "body_too_long";
+    if (error == http::error::header_limit || error == http::error::buffer_overflow)
+        return "head_too_long";
+    if (error == http::error::partial_message)
+        return "cut_off";
+    const bool isSyntaxError = error.category() == http::make_error_code(http::error::bad_method).category() && error != http::error::end_of_stream;
+    return isSyntaxError ? "not_http" : nullptr;
+}
 
 }
 
@@ -48,7 +58,9 @@
         std::optional<http::response_parser<http::string_body>> parser;
         std::chrono::steady_clock::time_point idleSince;
         std::string address;
+        std::uint64_t maxBodyBytes = 0;
         response_handler onResponse;
+        std::function<void(std::string_view)> onBroken;
     };
 
     explicit implementation(asio::any_io_executor ioExecutor)
@@ -106,7 +118,7 @@
             return;
         }
         connection->parser.emplace();
-        connection->parser->body_limit(maxResponseBytes);
+        connection->parser->body_limit(connection->maxBodyBytes);
         http::async_read(connection->stream, connection->input, *connection->parser, [self, connection](const error_code& failure, std::size_t) {
             self->finish(connection, failure);
         });
@@ -117,11 +129,16 @@
 {
     connection->stream.expires_never();
     const response_handler onResponse = std::exchange(connection->onResponse, nullptr);
+    const auto onBroken = std::exchange(connection->onBroken, nullptr);
     if (error || !isResponseValid(*connection)) {
+        const char* reason = error ? brokenReason(error) : "not_a_response";
         // Resets the connection, so that a call that is still in transit is not delivered after the client has given up on it.
         error_code ignored; // The socket may already be closed.
         connection->stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
         connection->stream.close();
+        connection->parser.reset();
+        if (reason && onBroken)
+            onBroken(reason);
         onResponse(std::nullopt);
         return;
     }
@@ -160,6 +177,8 @@
         connection = std::make_shared<implementation::pooled_connection>(m_implementation->executor);
     connection->address = request.address;
     connection->onResponse = std::move(onResponse);
+    connection->onBroken = std::move(request.onBroken);
+    connection->maxBodyBytes = request.maxBodyBytes;
     connection->request = {};
     connection->request.version(11);
     connection->request.method_string(request.method);
