One wrong value of a runner no longer decides for its group

Read in the code: one report in which a rank seems to be armed, or one status that turns a refused arm or hold order into an accepted one, lets a coordinator release a pass with two maps; one wrong epoch makes the witness forget what it has sent; one wrong counter decides the maps of the next seconds.

Cause: an agent acted on each report, list and reading of counters as it came, and a coordinator on each answer to an order.

Change: a change of a value by which others decide counts once two reports in a row show it; the second is read at once. Lists count once two in a row are the same and are read again now and then. Counters that fall, or grow in one set only, count only if the next reading does not fit either. Arm and hold orders count as accepted after two answers. Contradictions are counted and logged.

Why it works: a wrong value has to come twice in a row, alike, before anything is decided by it. What a runner says of itself costs nothing on the link; two calls more in each switch go to other machines (hold, witnessed arm), whatever the size of the group.

The new tests need the new classes.

--- a/fleet/agent_process.cpp
+++ b/fleet/agent_process.cpp
@@ -7,11 +7,13 @@
 #include "fleet/fleet_message.h"
 #include "fleet/group_coordinator.h"
 #include "fleet/group_members.h"
+#include "fleet/held_experts_filter.h"
 #include "fleet/http_listener.h"
 #include "fleet/map_order_dispatcher.h"
 #include "fleet/map_order_executor.h"
 #include "fleet/peer_ports.h"
 #include "fleet/process_metrics.h"
+#include "fleet/runner_report_filter.h"
 #include "fleet/steady_time.h"
 #include "platform/rank_client.h"
 #include "relay/endpoint.h"
@@ -98,9 +100,11 @@
     std::map<std::string, known_entry> entries;
     group_members members;
     group_coordinator::limits limits;
+    runner_report_filter reportFilter;
     // Last report of the local rank.
     std::optional<rank_message> localReport;
-    std::optional<platform::held_experts> heldExperts;
+    // Decides which lists of the local rank's experts to believe while the map in use was not ordered through this agent.
+    held_experts_filter expertsFilter;
     demand_reporting demand;
     // The coordinator that sent the last demand route.
     std::optional<udp::endpoint> demandCoordinator;
@@ -119,10 +123,14 @@
     bool isReadingReport = false;
     // Whether to read the report again when the read in progress ends, because it may show the state before an order.
     bool isReportOutdated = false;
+    // Whether the read in progress is to confirm what the one before it showed.
+    bool isConfirmingReport = false;
     bool isReadingExperts = false;
     bool isReadingChoices = false;
     // Ranks whose report the coordinator is reading.
     std::set<rank_id> polledRanks;
+    // Decides which of those reports the coordinator may use.
+    std::map<rank_id, runner_report_filter> polledReportFilters;
     // Ranks whose experts the coordinator has to read, and the number of such reads in progress.
     std::set<rank_id> lackingRanks;
     std::size_t lackingReads = 0;
@@ -149,6 +157,8 @@
     bool isHoldingRank() const;
     void readRunner();
     void onRunnerReport(std::optional<platform::runner_report>);
+    // Whether the report may be used. Counts those that the next one contradicts.
+    bool isCredible(runner_report_filter&, const platform::runner_report&);
     // Sets the experts of the local rank in the map in use.
     void setLocalExperts();
     void readExperts();
@@ -235,8 +245,11 @@
     isReportOutdated = false;
     runner.readReport(options.runnerAddress, [this](std::optional<platform::runner_report> report) {
         isReadingReport = false;
+        const bool isConfirmed = isConfirmingReport;
+        isConfirmingReport = false;
         onRunnerReport(std::move(report));
-        if (isReportOutdated)
+        // Another change is not confirmed at once, so that a runner that says something else each time is not asked without a pause.
+        if (isReportOutdated || (isConfirmingReport && !isConfirmed))
             readRunner();
     });
 }
@@ -403,6 +416,10 @@
     logIfChanged("report", report.has_value());
     if (!report)
         return;
+    if (!isCredible(reportFilter, *report)) {
+        isConfirmingReport = true;
+        return;
+    }
     const time_point now = steadyNow();
     if (now >= nextLoadReportAt) {
         nextLoadReportAt = now + loadReportInterval();
@@ -436,6 +453,14 @@
         sendReportToCoordinators();
 }
 
+bool agent_process::implementation::isCredible(runner_report_filter& filter, const platform::runner_report& report)
+{
+    const bool isAccepted = filter.onReport(report) == runner_report_filter::verdict::Accepted;
+    if (const char* field = filter.contradictedField())
+        brokenAnswers.record("report", std::string("contradicted_") + field);
+    return isAccepted;
+}
+
 void agent_process::implementation::setLocalExperts()
 {
     rank_status& status = localReport->status;
@@ -446,10 +471,9 @@
     status.expertsBySet = placement ? expertsOf(*placement, status.rank) : std::vector<std::vector<expert_number>>();
     if (!status.expertsBySet.empty())
         return;
-    const bool areHeldExpertsCurrent = heldExperts && heldExperts->epoch == status.epoch && heldExperts->map == status.map;
-    if (areHeldExpertsCurrent)
-        status.expertsBySet = heldExperts->experts;
-    else
+    if (const auto* experts = expertsFilter.experts(status.epoch, status.map))
+        status.expertsBySet = *experts;
+    if (expertsFilter.isReadDue(status.epoch, status.map, steadyNow()))
         readExperts();
 }
 
@@ -463,7 +487,11 @@
         logIfChanged("experts", response.has_value());
         if (!response)
             return;
-        heldExperts = std::move(response);
+        const bool hasChanged = expertsFilter.onList(std::move(*response), steadyNow());
+        if (expertsFilter.isContradicted())
+            brokenAnswers.record("experts", "contradicted");
+        if (!hasChanged)
+            return;
         expertListsDue = expertListRepetitions;
         nextRankReportAt = {};
     });
@@ -485,8 +513,8 @@
     runner.readChoices(options.runnerAddress, [this](const std::optional<platform::expert_choices>& response) {
         isReadingChoices = false;
         logIfChanged("choices", response.has_value());
-        if (response)
-            demand.onCounters(response->choices, response->epoch);
+        if (response && !demand.onCounters(response->choices, response->epoch, localReport->status.expertsBySet.size()))
+            brokenAnswers.record("choices", "contradicted");
         if (const auto report = demand.takeReport(steadyNow()))
             sendDemand(*report);
     });
@@ -649,7 +677,9 @@
             continue;
         runner.readReport(addressOf(rank), [this, rank](std::optional<platform::runner_report> report) {
             polledRanks.erase(rank);
-            if (!report || !coordinator || report->load.group != localReport->group)
+            // The answer of another rank tells nothing of this one.
+            const bool isOfRank = report && report->load.group == localReport->group && report->load.rank == rank;
+            if (!isOfRank || !isCredible(polledReportFilters[rank], *report) || !coordinator)
                 return;
             coordinator->onReport({ report->load.group, report->groupSize, report->status, report->load.running, addressOf(report->status.rank), {} }, steadyNow());
         });
--- a/fleet/demand_reporting.h
+++ b/fleet/demand_reporting.h
@@ -6,6 +6,7 @@
 #include "state/ids.h"
 #include "state/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -30,8 +31,11 @@
     // Follows the route until none has arrived for some seconds.
     void setRoute(const demand_route_message&, time_point now);
 
-    // Records a reading of the rank's counters, which count from the start of the rank.
-    void onCounters(const std::vector<std::uint32_t>& counters, std::uint64_t epoch);
+    // Records a reading of the rank's counters, which count from the start of the rank. `sets` is the number of expert sets, 0 if it is
+    // not known. Returns false if the reading does not fit the one before: a counter has fallen, or one set has far more choices
+    // than another, although each token makes as many in each set. Such a reading counts only if the next one does not fit
+    // either, so that one wrong counter does not decide the next maps.
+    bool onCounters(const std::vector<std::uint32_t>& counters, std::uint64_t epoch, std::size_t sets = 0);
 
     // Adds the report of another agent. Ignored if it is from another epoch.
     void onReport(const demand_report_message&);
@@ -46,6 +50,8 @@
     group_id m_group;
     std::uint64_t m_epoch = 0;
     std::vector<std::uint32_t> m_previousCounters;
+    // Whether the last reading did not fit the one before.
+    bool m_isLastReadingDoubtful = false;
     demand_accumulator m_pending;
     std::optional<demand_route_message> m_route;
     time_point m_routeReceivedAt;
--- a/tests/fleet/answer_size_test.cpp
+++ b/tests/fleet/answer_size_test.cpp
@@ -265,4 +265,26 @@
     EXPECT_EQ(m_reason, "table document_too_large");
 }
 
+// Guards against a pass with two maps: a rank that has refused an arm or hold order seemed to have accepted it by one wrong status.
+TEST_F(answer_size, secondAnswerToAnArmOrderDiffers_countsAsUnanswered)
+{
+    for (const auto action : { map_order::kind::Arm, map_order::kind::Hold }) {
+        std::atomic<int> answers = 0;
+        m_server = std::make_unique<scripted_server>([&answers](raw_connection& connection) {
+            try {
+                while (connection.receiveUntil("\r\n\r\n").ends_with("\r\n\r\n"))
+                    connection.send(framed("", ++answers == 1 ? "202" : "409"));
+            } catch (const std::exception&) {
+            }
+        });
+        EXPECT_EQ(order(action), map_order_result::Unanswered);
+        EXPECT_EQ(m_reason, "order contradicted");
+        m_server.reset();
+    }
+    serve(framed("", "202"));
+    EXPECT_EQ(order(map_order::kind::Arm), map_order_result::Accepted);
+    serve(framed("", "409"));
+    EXPECT_EQ(order(map_order::kind::Arm), map_order_result::Refused);
+}
+
 }
