--- a/tests/fleet/group_messages_test.cpp
+++ b/tests/fleet/group_messages_test.cpp
@@ -279,6 +279,11 @@
         const std::size_t without = encode(message).size();
         message.order.version = mapVersion(5, roundRobinPlacement(16, 192, ranks));
         EXPECT_EQ(encode(message).size(), without);
+        rank_message report;
+        report.status.map = map_version(5);
+        const std::size_t reportWithout = encode(report).size();
+        report.status.map = message.order.version;
+        EXPECT_EQ(encode(report).size(), reportWithout);
     }
 }
 
