sardinelbd: a response takes no more memory than its call can have

The table service's client read up to 64 MiB for any question, the agent up to 8 MiB as the answer to a probe or a cancellation, and texts were parsed whatever number of values they had: a list of zeros takes eight times its length, and an object of short keys up to 20 times.

A range that is longer is asked for again with a quarter of the rows, down to one, so that large changes still come through. A probe whose answer is longer than 64 KiB still shows that the runner is reachable. Texts have at most 100,000 values, and configurations 500,000, or they are refused before they are parsed; rows of leases, orders and maps go through the same check. Chat requests may have as many values as their length allows, as before.

Also: fleet_answer_size_test changesTooLong_followed_tableIsReadWhole for the client of the store.

Evidence: table_client_test responsesBeyondTheirQuestionAreRefused, rowsBeyondAResponseComeInSmallerRanges (200, 50, 12 rows), largeSnapshotIsRead (24 MiB) and nested_message manyValues_parsed_discarded pass. A counter and a log line of their own for such responses are not there in sardinelbd: the failure of the call is logged with its reason, as other failures are.

--- a/cli/connect_services.cpp
+++ b/cli/connect_services.cpp
@@ -3,6 +3,7 @@
 #include "cli/cli_services.h"
 #include "cli/cli_settings.h"
 #include "cli/random_token.h"
+#include "state/bounded_json.h"
 #include "state/change_json.h"
 #include "state/configuration_change.h"
 #include "transport/blocking_http_client.h"
@@ -11,6 +12,7 @@
 #include <nlohmann/json.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <thread>
 #include <utility>
 
@@ -22,6 +24,8 @@
 
 constexpr std::chrono::milliseconds callTimeout(3000);
 constexpr int statusOk = 200;
+// A daemon answers with its state, its history of requests or a configuration of a few megabytes.
+constexpr std::uint64_t maxDaemonResponseBytes = 8U << 20U;
 
 state_error unavailable(const std::string& address, const std::string& detail)
 {
@@ -45,12 +49,13 @@
     call.headers.emplace_back("Authorization", "Bearer " + key);
     call.body = std::move(body);
     call.timeout = callTimeout;
+    call.maxResponseBytes = maxDaemonResponseBytes;
     const auto response = callHttp(validatedAddress(address), call);
     if (!response)
         return unavailable(address, response.error().detail);
     if (response.value().status != statusOk)
         return unavailable(address, "status " + std::to_string(response.value().status) + ": " + response.value().body);
-    json document = json::parse(response.value().body, nullptr, false);
+    json document = parseBoundedJson(response.value().body, maxDocumentValues);
     if (!document.is_object())
         return unavailable(address, "the response is not a JSON object");
     return document;
--- a/coordination/leases/lease_row.cpp
+++ b/coordination/leases/lease_row.cpp
@@ -1,5 +1,7 @@
 #include "coordination/leases/lease_row.h"
 
+#include "state/bounded_json.h"
+
 #include <nlohmann/json.hpp>
 
 namespace sardinelb {
@@ -18,7 +20,7 @@
 std::optional<lease_row> parseLeaseRow(const std::string& text)
 {
     try {
-        const nlohmann::json document = nlohmann::json::parse(text);
+        const nlohmann::json document = parseBoundedJson(text);
         lease_row row;
         row.holder = daemon_id(document.at("holder").get<std::string>());
         row.lifetime = incarnation(document.at("lifetime").get<std::uint64_t>());
--- a/coordination/leases/order_row.cpp
+++ b/coordination/leases/order_row.cpp
@@ -1,5 +1,7 @@
 #include "coordination/leases/order_row.h"
 
+#include "state/bounded_json.h"
+
 #include <array>
 #include <nlohmann/json.hpp>
 
@@ -72,7 +74,7 @@
 std::optional<runner_order> parseOrder(const table_row& row)
 {
     try {
-        const nlohmann::json document = nlohmann::json::parse(row.value);
+        const nlohmann::json document = parseBoundedJson(row.value);
         const auto kind = parseKind(document.at("kind").get<std::string>());
         const auto status = parseStatus(document.at("status").get<std::string>());
         if (!kind || !status)
--- a/coordination/maps/map_rows.cpp
+++ b/coordination/maps/map_rows.cpp
@@ -1,5 +1,7 @@
 #include "coordination/maps/map_rows.h"
 
+#include "state/bounded_json.h"
+
 #include <nlohmann/json.hpp>
 
 #include <charconv>
@@ -99,7 +101,7 @@
     -> coordination_result<decltype(read(json()))>
 {
     try {
-        return read(json::parse(value));
+        return read(parseBoundedJson(value, maxDocumentValues));
     } catch (const json::exception& exception) {
         return coordination_error { coordination_errc::Invalid, key, exception.what() };
     }
--- a/protocol/chat_request.cpp
+++ b/protocol/chat_request.cpp
@@ -70,7 +70,7 @@
 
 protocol_result<chat_request> parseChatRequest(std::string_view text)
 {
-    const json body = parseBoundedJson(text);
+    const json body = parseBoundedJson(text, maxDocumentValues);
     if (body.is_discarded() || !body.is_object())
         return malformed("body", "must be a JSON object");
     const auto model = body.find("model");
--- a/state/object_reader.cpp
+++ b/state/object_reader.cpp
@@ -242,6 +242,10 @@
         faults.push_back({ location, "", "", "nested too deeply" });
         return {};
     }
+    if (hasMoreValues(text, maxDocumentValues)) {
+        faults.push_back({ location, "", "", "has more than " + std::to_string(maxDocumentValues) + " values" });
+        return {};
+    }
     try {
         repeated_key_check check;
         json parsed = json::parse(text, std::ref(check));
--- a/tests/error/nested_message_test.cpp
+++ b/tests/error/nested_message_test.cpp
@@ -51,4 +51,19 @@
     EXPECT_TRUE(parseBoundedJson("[" + std::string(3000, ']') + m_deep).is_discarded());
 }
 
+// Guards against a text that takes many times its length once it is parsed.
+TEST_F(nested_message, manyValues_parsed_discarded)
+{
+    const auto listOf = [](std::size_t values) {
+        std::string text = "[0";
+        for (std::size_t i = 1; i < values; ++i)
+            text += ",0";
+        return text + "]";
+    };
+    EXPECT_EQ(parseBoundedJson(listOf(maxMessageValues - 1)).size(), maxMessageValues - 1);
+    EXPECT_TRUE(parseBoundedJson(listOf(maxMessageValues)).is_discarded());
+    EXPECT_TRUE(parseBoundedJson(listOf(maxMessageValues), maxDocumentValues).is_array());
+    EXPECT_FALSE(hasMoreValues("\"" + std::string(1000, ',') + "\"", 1));
+}
+
 }
--- a/tests/error/table_client_test.cpp
+++ b/tests/error/table_client_test.cpp
@@ -5,6 +5,9 @@
 #include <gtest/gtest.h>
 
 #include <optional>
+#include <stdexcept>
+#include <string>
+#include <vector>
 
 namespace sardinelb {
 
@@ -37,11 +40,15 @@
 call_results answering(int status, const std::string& body)
 {
     const scripted_server server([&](raw_connection& connection) {
-        connection.receiveUntil("\r\n\r\n");
-        connection.send("HTTP/1.1 " + std::to_string(status) + " X\r\nConnection: close\r\nContent-Length: "
-            + std::to_string(body.size()) + "\r\n\r\n" + body);
-        connection.shutdownSend();
-        connection.receiveAll();
+        try {
+            connection.receiveUntil("\r\n\r\n");
+            connection.send("HTTP/1.1 " + std::to_string(status) + " X\r\nConnection: close\r\nContent-Length: "
+                + std::to_string(body.size()) + "\r\n\r\n" + body);
+            connection.shutdownSend();
+            connection.receiveAll();
+        } catch (const std::exception&) {
+            // The client has closed the connection of a response that is too long.
+        }
     });
     return callAll(server);
 }
@@ -170,6 +177,52 @@
     }
 }
 
+// Guards against a daemon that one response takes past the memory of its machine.
+TEST(table_client_test, responsesBeyondTheirQuestionAreRefused)
+{
+    std::string numbers = "{\"revision\":1,\"rows\":[";
+    for (int i = 0; i < 1000000; ++i)
+        numbers += "0,";
+    const auto parsed = answering(200, numbers + "0]}");
+    EXPECT_EQ(parsed.transact, state_errc::OutcomeUnknown);
+    EXPECT_EQ(parsed.readRow, state_errc::Unavailable);
+    EXPECT_EQ(parsed.readRange, state_errc::Unavailable);
+    const auto longer = answering(200, numbers + std::string(std::size_t { 40 } << 20U, ' ') + "0]}");
+    expectReads(longer, state_errc::Unavailable);
+    expectWrites(longer, state_errc::OutcomeUnknown);
+}
+
+// Guards against a change log that stands still because its next rows are too many for a response.
+TEST(table_client_test, rowsBeyondAResponseComeInSmallerRanges)
+{
+    std::vector<int> limits;
+    const scripted_server server([&limits](raw_connection& connection) {
+        const std::string request = connection.receiveUntil("\r\n\r\n");
+        const int limit = std::stoi(request.substr(request.find("limit=") + 6));
+        limits.push_back(limit);
+        std::string body = R"({"rows":[)";
+        for (int i = 0; i < limit; ++i)
+            body += std::string(i == 0 ? "" : ",") + R"({"key":"change/)" + std::to_string(i) + R"(","revision":1,"value":")" + std::string(524'288, 'x') + "\"}";
+        body += "]}";
+        try {
+            connection.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+            connection.receiveAll();
+        } catch (const std::exception&) {
+            // The client has closed the connection of a response that is too long.
+        }
+    });
+    const auto rows = makeTableClient({ "127.0.0.1", server.port() }, std::chrono::seconds(20)).readRange("a", "b", 200);
+    ASSERT_TRUE(rows.has_value());
+    EXPECT_EQ(rows.value().size(), 12U);
+    EXPECT_EQ(limits, (std::vector<int> { 200, 50, 12 }));
+}
+
+// The largest snapshot for 12,000 teams takes a few megabytes.
+TEST(table_client_test, largeSnapshotIsRead)
+{
+    EXPECT_EQ(answering(200, std::string(std::size_t { 24 } << 20U, 'x')).readObject, std::nullopt);
+}
+
 }
 
 }
--- a/tests/fleet/answer_size_test.cpp
+++ b/tests/fleet/answer_size_test.cpp
@@ -1,6 +1,7 @@
 #include "platform/bounded_document.h"
 #include "platform/rank_client.h"
 #include "platform/store_client.h"
+#include "platform/table_follower.h"
 #include "relay/http_call_client.h"
 #include "tests/support/scripted_server.h"
 
@@ -14,6 +15,7 @@
 #include <optional>
 #include <stdexcept>
 #include <string>
+#include <vector>
 
 namespace sardinelb::test {
 
@@ -265,6 +267,40 @@
     EXPECT_EQ(m_reason, "table document_too_large");
 }
 
+// Guards against an entry that keeps an old table for good, because the changes since then are longer than a response may be.
+TEST_F(answer_size, changesTooLong_followed_tableIsReadWhole)
+{
+    std::atomic<int> reads = 0;
+    m_server = std::make_unique<scripted_server>([&reads](raw_connection& connection) {
+        try {
+            const bool isFollow = connection.receiveUntil("\r\n\r\n").find("/v1/rows-feed") != std::string::npos;
+            const std::string revision = std::to_string(isFollow ? 9 : ++reads);
+            const std::string value = isFollow ? std::string(std::size_t { 5 } << 20U, 'A') : "QUFB";
+            connection.send(framed(R"({"rows":[{"key":"k","value":")" + value + R"(","ver":)" + revision + R"(}],"ver":)" + revision + "}"));
+            connection.shutdownSend();
+            connection.receiveAll();
+        } catch (const std::exception&) {
+            // The client has closed the connection of a response that is too long.
+        }
+    });
+    platform::store_client client(m_context.get_executor(), address());
+    std::vector<std::uint64_t> snapshots;
+    bool isEnded = false;
+    platform::table_follower::hooks hooks;
+    hooks.rows = [&](const std::vector<platform::store_row>&, bool isFullSnapshot, store_revision revision) {
+        EXPECT_TRUE(isFullSnapshot);
+        snapshots.push_back(revision.revision.value());
+        isEnded = snapshots.size() == 3;
+    };
+    hooks.reachable = [](bool) {};
+    platform::table_follower::settings settings;
+    settings.table = "servers";
+    const auto follower = std::make_shared<platform::table_follower>(m_context.get_executor(), client, settings, hooks);
+    follower->start();
+    runUntil(isEnded);
+    EXPECT_EQ(snapshots, (std::vector<std::uint64_t> { 1, 2, 3 }));
+}
+
 // Guards against a pass with two maps: a rank that has refused an arm or hold order seemed to have accepted it by one wrong status.
 TEST_F(answer_size, secondAnswerToAnArmOrderDiffers_countsAsUnanswered)
 {
--- a/transport/blocking_http_client.cpp
+++ b/transport/blocking_http_client.cpp
@@ -29,8 +29,6 @@
 namespace {
 
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
-// Configuration snapshots for the target size of 12,000 teams take a few megabytes.
-constexpr std::uint64_t maxResponseBytes = 64U << 20U;
 
 http::request<http::string_body> toRequest(const socket_address& address, const http_call& call)
 {
@@ -56,6 +54,8 @@
 
 transport_errc codeFor(const beast::error_code& error)
 {
+    if (error == http::error::body_limit)
+        return transport_errc::ResponseTooLong;
     return error == beast::error::timeout ? transport_errc::Timeout : transport_errc::ConnectionLost;
 }
 
@@ -75,7 +75,7 @@
         co_return;
     }
     http::response_parser<http::string_body> parser;
-    parser.body_limit(maxResponseBytes);
+    parser.body_limit(call.maxResponseBytes);
     beast::flat_buffer buffer { maxFramingBytes };
     if (auto [error, bytes] = co_await http::async_read(stream, buffer, parser, asTuple); error) {
         result = requestError(codeFor(error), address, error.message());
--- a/transport/runner_client.cpp
+++ b/transport/runner_client.cpp
@@ -54,6 +54,8 @@
 // A token takes far less; the limit keeps an endless line from exhausting memory.
 constexpr std::size_t maxLineBytes = std::size_t { 64 } * 1024;
 constexpr std::uint64_t maxServiceResponseBytes = 4U << 20U;
+// Responses to a probe and to a cancellation, whose bodies are not used.
+constexpr std::uint64_t maxControlResponseBytes = 64U << 10U;
 // Interim responses (status 1xx) that may precede the answer of a runner.
 constexpr int maxInterimResponses = 16;
 
@@ -394,6 +396,7 @@
     if (auto [error, bytes] = co_await http::async_write(stream, request, asTuple); error)
         co_return;
     http::response_parser<http::string_body> parser;
+    parser.body_limit(maxControlResponseBytes);
     beast::flat_buffer buffer { maxFramingBytes };
     // The response is ignored; reading it avoids a connection reset at the runner.
     co_await http::async_read(stream, buffer, parser, asTuple);
@@ -411,10 +414,11 @@
     if (auto [error, bytes] = co_await http::async_write(stream, request, asTuple); error)
         co_return false;
     http::response_parser<http::string_body> parser;
+    parser.body_limit(maxControlResponseBytes);
     beast::flat_buffer buffer { maxFramingBytes };
     auto [error, bytes] = co_await http::async_read(stream, buffer, parser, asTuple);
-    // Any response shows that the runner is reachable; services need not implement the path.
-    co_return !error;
+    // Any response shows that the runner is reachable; services need not implement the path, and may answer with a long page.
+    co_return !error || error == http::error::body_limit;
 }
 
 asio::awaitable<void> runner_client::implementation::probeLoop(std::string target)
--- a/transport/table_client.cpp
+++ b/transport/table_client.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <utility>
@@ -20,6 +21,17 @@
 constexpr int statusConflict = 409;
 constexpr int statusUnavailable = 503;
 
+// Longest bodies of the responses. A row has a change of up to 512 KiB, which may be longer as JSON text. Snapshots of the configuration
+// take a few megabytes at the target size of 12,000 teams.
+constexpr std::uint64_t maxRowBytes = 4U << 20U;
+constexpr std::uint64_t maxRangeBytes = 8U << 20U;
+constexpr std::uint64_t maxObjectBytes = 32U << 20U;
+// Of the response to a write of an object, which is not read.
+constexpr std::uint64_t maxAnswerBytes = 64U << 10U;
+
+// Rows are asked for again with so many times fewer if they exceed a response.
+constexpr int rangeDivisor = 4;
+
 std::string percentEncode(const std::string& text)
 {
     std::string encoded;
@@ -111,7 +123,7 @@
 
     state_result<row_revision> transact(const table_transaction& transaction) const
     {
-        const auto reply = call("POST", "/v1/transact", toJson(transaction).dump());
+        const auto reply = call("POST", "/v1/transact", toJson(transaction).dump(), maxRowBytes);
         if (!reply)
             return writeFailure(reply.error());
         const json body = parseBoundedJson(reply.value().body);
@@ -128,7 +140,7 @@
 
     state_result<std::optional<table_row>> readRow(const std::string& key) const
     {
-        const auto reply = call("GET", "/v1/rows?key=" + percentEncode(key), {});
+        const auto reply = call("GET", "/v1/rows?key=" + percentEncode(key), {}, maxRowBytes);
         if (!reply)
             return readFailure(reply.error());
         if (reply.value().status == statusNotFound)
@@ -145,7 +157,10 @@
     {
         const auto reply = call("GET",
             "/v1/range?from=" + percentEncode(from) + "&to=" + percentEncode(to) + "&limit=" + std::to_string(limit),
-            {});
+            {}, maxRangeBytes);
+        // Large rows come through a few at a time.
+        if (!reply && reply.error().code == transport_errc::ResponseTooLong && limit > 1)
+            return readRange(from, to, std::max(1, limit / rangeDivisor));
         if (!reply)
             return readFailure(reply.error());
         if (reply.value().status != statusOk)
@@ -165,7 +180,7 @@
 
     state_result<bool> putObject(const std::string& key, const std::string& value) const
     {
-        const auto reply = call("PUT", "/v1/objects?key=" + percentEncode(key), value);
+        const auto reply = call("PUT", "/v1/objects?key=" + percentEncode(key), value, maxAnswerBytes);
         if (!reply)
             return writeFailure(reply.error());
         if (reply.value().status / 100 != 2)
@@ -175,7 +190,7 @@
 
     state_result<std::optional<std::string>> readObject(const std::string& key) const
     {
-        const auto reply = call("GET", "/v1/objects?key=" + percentEncode(key), {});
+        const auto reply = call("GET", "/v1/objects?key=" + percentEncode(key), {}, maxObjectBytes);
         if (!reply)
             return readFailure(reply.error());
         if (reply.value().status == statusNotFound)
@@ -186,13 +201,14 @@
     }
 
 private:
-    transport_result<http_response> call(const char* method, const std::string& target, std::string body) const
+    transport_result<http_response> call(const char* method, const std::string& target, std::string body, std::uint64_t maxResponseBytes) const
     {
         http_call request;
         request.method = method;
         request.target = target;
         request.body = std::move(body);
         request.timeout = m_timeout;
+        request.maxResponseBytes = maxResponseBytes;
         return callHttp(m_address, request);
     }
 
--- a/transport/transport_error.h
+++ b/transport/transport_error.h
@@ -21,6 +21,8 @@
     Unauthenticated,
     // The peer sent something that is not a valid message.
     BadMessage,
+    // The response is longer than the call can have as its response.
+    ResponseTooLong,
 };
 
 // Error of the transport layer. `subject` names the offending address or connection.
