--- a/tests/fleet/answer_size_test.cpp
+++ b/tests/fleet/answer_size_test.cpp
@@ -215,7 +215,7 @@
 {
     const std::string sound = R"({"active":3,"born":1,"size":0})";
     for (const std::string& head : { "X: " + std::string(100000, 'x') + "\r\n", repeated("X: y\r\n", 20000), std::string("X: y\r\n") + std::string(70000, 'q') }) {
-        serve("HTTP/1.1 200 OK\r\n" + head + "\r\n" + sound);
+        serve(std::string("HTTP/1.1 200 OK\r\n").append(head).append("\r\n").append(sound));
         EXPECT_FALSE(report());
         EXPECT_EQ(m_reason.substr(0, 7), "report ");
         serve(framed(sound));
