Agents take whole maps of a coordinator of an earlier build

Cause: an agent refused a whole map, too, if its version has no valid digest. A coordinator of an earlier build that follows one of this build gives such versions, and answers each refusal with the same map again, without a pause. Whole maps have one content for all ranks as they are, so the check is needed only for a difference from a known map. Test: wholeMapOfAnEarlierBuild_completed_asOrdered. No run with processes of both builds was made.

--- a/expert_map/map_switch.h
+++ b/expert_map/map_switch.h
@@ -42,6 +42,9 @@
 // Both states of a rank are final for the version, so an old report that shows one is still true. A version is armed only for one
 // pass, and no coordinator process holds the same pass twice.
 //
+// All ranks get one content of a map: its version carries a digest of it (see map_content.h), a coordinator takes the map in use from
+// what was ordered, and uses the ranks' lists of their experts only if together they have the digest.
+//
 // Arm orders without an answer are sent again until a rank refuses: rolling back takes more orders than completing. A coordinator,
 // also a standby one, that finds another's hold unchanged for foreignHoldTimeout completes that switch if some rank is armed
 // and no rank is void, and otherwise rolls it back. Pure state machine: takeOrders() returns the orders to send.
--- a/fleet/agent_process.cpp
+++ b/fleet/agent_process.cpp
@@ -123,7 +123,7 @@
     bool isReadingReport = false;
     // Whether to read the report again when the read in progress ends, because it may show the state before an order.
     bool isReportOutdated = false;
-    // Whether the read in progress is to confirm what the one before it showed.
+    // Whether the last report awaits confirmation by the next one.
     bool isConfirmingReport = false;
     bool isReadingExperts = false;
     bool isReadingChoices = false;
@@ -245,11 +245,11 @@
     isReportOutdated = false;
     runner.readReport(options.runnerAddress, [this](std::optional<platform::runner_report> report) {
         isReadingReport = false;
-        const bool isConfirmed = isConfirmingReport;
+        const bool wasConfirming = isConfirmingReport;
         isConfirmingReport = false;
         onRunnerReport(std::move(report));
         // Another change is not confirmed at once, so that a runner that says something else each time is not asked without a pause.
-        if (isReportOutdated || (isConfirmingReport && !isConfirmed))
+        if (isReportOutdated || (isConfirmingReport && !wasConfirming))
             readRunner();
     });
 }
--- a/fleet/map_order_executor.cpp
+++ b/fleet/map_order_executor.cpp
@@ -38,7 +38,9 @@
         if (known != m_placements.end())
             placement = applyDelta(*known->second, message.delta);
     }
-    if (!placement || !isContentOf(order.version, *placement))
+    // A difference from the round-robin placement is the whole map. A coordinator of an earlier build gives it a version without a valid digest.
+    const bool isOtherContent = placement && message.base && !isContentOf(order.version, *placement);
+    if (!placement || isOtherContent)
         return std::nullopt;
     order.placement = std::make_shared<expert_placement>(std::move(*placement));
     return order;
--- a/fleet/map_order_executor.h
+++ b/fleet/map_order_executor.h
@@ -15,8 +15,8 @@
 // machine.
 class map_order_executor {
 public:
-    // The order to give to the runner. Nothing if it refers to a map that is not known here, or if the result is not the map that the
-    // version stands for, since the coordinator knows another content of that map.
+    // The order to give to the runner. Nothing if it refers to a map that is not known here, or whose content is another one for the
+    // coordinator, so that the result is not the map that the version stands for.
     std::optional<map_order> complete(const delegated_order_message&);
 
     // Records the map of a prepare order that the runner is about to get, and may take later without an answer. Maps other than the
--- a/tests/fleet/group_messages_test.cpp
+++ b/tests/fleet/group_messages_test.cpp
@@ -269,6 +269,18 @@
     EXPECT_EQ(results, std::vector<map_order_result> { map_order_result::Unanswered });
 }
 
+// Guards against an agent that no coordinator of an earlier build can give a map, since the versions of that build have no valid digest.
+TEST_F(delegated_orders, wholeMapOfAnEarlierBuild_completed_asOrdered)
+{
+    map_order order = prepareOrder(rank_id(7), 5);
+    order.version = map_version(mapVersion(3, *order.basePlacement).value() + 1);
+    order.basePlacement = nullptr;
+    dispatcher.dispatch(order, at(0));
+    const auto completed = executor.complete(sent[0]);
+    ASSERT_TRUE(completed);
+    EXPECT_EQ(*completed->placement, *order.placement);
+}
+
 // Guards against messages that grow with the check of their content: the digest is a part of the version.
 TEST_F(delegated_orders, versionWithDigest_encoded_asLongAsWithout)
 {
