Process tests wait for a daemon that does not listen yet; one start of a group for two tests

Traced: the entries were ready, the log of the agent assist-llm-2 was still empty, and the call that asks whether it is ready raised an exception where it should have counted as "not yet"; two other agents had connected 0.1 s before. The wait of 20 s was never used.

Change: demo_fleet.is_daemon_ready counts a refused connection as not ready, in process_failures and broken_answers. The check is as strict: each agent has to say within 20 s that it is ready. wrong_answers and large_answers start their group with the same code.

--- a/scripts/demo_fleet.py
+++ b/scripts/demo_fleet.py
@@ -224,6 +224,13 @@
         except (urllib.error.URLError, OSError):
             return False
 
+    def is_daemon_ready(self, name):
+        """Whether the daemon answers at its admin port and says that it is ready. One that has just been started does not listen yet."""
+        try:
+            return self.status(name)["ready"]
+        except (urllib.error.URLError, OSError):
+            return False
+
     def stop(self, name, seconds=60):
         process = self.processes.pop(name)
         process.send_signal(signal.SIGTERM)
--- a/tests/process/broken_answers.py
+++ b/tests/process/broken_answers.py
@@ -526,7 +526,7 @@
         fleet.start_daemons()
         fleet.wait_ready()
         for agent in (self.agent, self.model_agent):
-            fleet.wait_for(agent + " is ready", lambda name=agent: fleet.status(name)["ready"])
+            fleet.wait_for(agent + " is ready", lambda name=agent: fleet.is_daemon_ready(name))
 
     async def __aexit__(self, *_):
         await asyncio.to_thread(self.fleet.stop_all)
--- a/tests/process/large_answers.py
+++ b/tests/process/large_answers.py
@@ -10,12 +10,10 @@
 import json
 import os
 import sys
-import tempfile
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
-import wrong_answers  # noqa: E402
-from wrong_answers import CannotRun, Group, Installation, WrongGroup, count_log_lines, make_root, stand_ins  # noqa: E402
+from wrong_answers import SHARES, CannotRun, WrongGroup, count_log_lines, group_problems, started_group  # noqa: E402
 import http_parts  # noqa: E402
 
 MEMORY_KIB = 128 * 1024
@@ -103,26 +101,17 @@
 
 
 async def play(case, options):
-    with tempfile.TemporaryDirectory(prefix="sardinelb-large-") as folder:
-        make_root(folder, options.build)
-        stand_ins.ROOT = folder
-        async with Installation(os.path.join(folder, "record.txt")) as installation:
-            group = LargeGroup(installation.record, CASES[case], wrong_answers.SHARES["half"])
-            processes = Group(installation, group)
-            await processes.start()
-            began = time.monotonic()
-            await group.run(began + LARGE_S)
-            group.wrong_ranks = ()
-            before = group.switches
-            await group.run(began + LARGE_S + SOUND_S)
-            peak = max(peak_kib(agent.pid) for agent in processes.agents)
-            processes.stop()
-            lines = count_log_lines(installation.folder, '"event":"answer_broken"')
-    problems = []
-    if group.broken:
-        problems.append(f"{group.broken} passes with different maps")
-    if processes.ended:
-        problems.append(f"{processes.ended} agents ended")
+    async with started_group(options.build, lambda installation: LargeGroup(installation.record, CASES[case], SHARES["half"])) as processes:
+        group = processes.group
+        began = time.monotonic()
+        await group.run(began + LARGE_S)
+        group.wrong_ranks = ()
+        before = group.switches
+        await group.run(began + LARGE_S + SOUND_S)
+        peak = max(peak_kib(agent.pid) for agent in processes.agents)
+        processes.stop()
+        lines = count_log_lines(processes.installation.folder, '"event":"answer_broken"')
+    problems = group_problems(processes)
     if peak > MEMORY_KIB:
         problems.append("an agent has taken more than its machine has")
     if group.switches - before < MIN_SOUND_SWITCHES:
--- a/tests/process/process_failures.py
+++ b/tests/process/process_failures.py
@@ -186,7 +186,7 @@
         fleet.start_daemons()
         fleet.wait_ready()
         for agent in sum(fleet.runner_names(), []):
-            fleet.wait_for(agent + " is ready", lambda name=agent: fleet.status(name)["ready"])
+            fleet.wait_for(agent + " is ready", lambda name=agent: fleet.is_daemon_ready(name))
         for case in CASES:
             if not arguments.case or case.__name__ in arguments.case:
                 violations += run_case(fleet, case, os.getpid())
--- a/tests/process/wrong_answers.py
+++ b/tests/process/wrong_answers.py
@@ -10,6 +10,7 @@
 
 import argparse
 import asyncio
+import contextlib
 import copy
 import json
 import os
@@ -299,26 +300,37 @@
     return count
 
 
-async def play(case, share, options):
-    with tempfile.TemporaryDirectory(prefix="sardinelb-wrong-") as folder:
-        make_root(folder, options.build)
+@contextlib.asynccontextmanager
+async def started_group(build, group_for):
+    """Starts the processes of a build beside the group that `group_for` makes for an installation."""
+    with tempfile.TemporaryDirectory(prefix="sardinelb-group-") as folder:
+        make_root(folder, build)
         stand_ins.ROOT = folder
         async with Installation(os.path.join(folder, "record.txt")) as installation:
-            group = WrongGroup(installation.record, case, SHARES[share], options.seed)
-            processes = Group(installation, group)
+            processes = Group(installation, group_for(installation))
             await processes.start()
-            wrong, sound = await processes.play()
-            processes.stop()
-            lines = count_log_lines(installation.folder, '"event":"answer_broken"')
-            if options.keep:
-                shutil.copytree(installation.folder, os.path.join(options.keep, f"{case}-{share}"), dirs_exist_ok=True)
-        if options.keep:
-            shutil.copy(os.path.join(folder, "record.txt"), os.path.join(options.keep, f"{case}-{share}"))
+            yield processes
+
+
+def group_problems(processes):
     problems = []
-    if group.broken:
-        problems.append(f"{group.broken} passes with different maps")
+    if processes.group.broken:
+        problems.append(f"{processes.group.broken} passes with different maps")
     if processes.ended:
         problems.append(f"{processes.ended} agents ended")
+    return problems
+
+
+async def play(case, share, options):
+    async with started_group(options.build, lambda installation: WrongGroup(installation.record, case, SHARES[share], options.seed)) as processes:
+        wrong, sound = await processes.play()
+        processes.stop()
+        group = processes.group
+        folder = processes.installation.folder
+        lines = count_log_lines(folder, '"event":"answer_broken"')
+        if options.keep:
+            shutil.copytree(folder, os.path.join(options.keep, f"{case}-{share}"), dirs_exist_ok=True)
+    problems = group_problems(processes)
     if sound < MIN_SOUND_SWITCHES:
         problems.append(f"only {sound} switches after the wrong answers")
     print(f"{case} {share}: {'; '.join(problems) or 'held'} ({group.wrong_answers} wrong answers, {wrong} switches beside them, {sound} after, {lines} log lines)", flush=True)
@@ -339,7 +351,7 @@
     parser.add_argument("--case", action="append", choices=CASES, metavar="NAME", help="all by default")
     parser.add_argument("--share", choices=SHARES, help="of the ranks; both by default")
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--keep", help="folder for logs and records")
+    parser.add_argument("--keep", help="folder for logs")
     options = parser.parse_args()
     try:
         sys.exit(1 if asyncio.run(play_all(options)) else 0)
